--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,48 @@
+// Package clock gives decisions an injected source of time. Times are
+// durations since the start of the process on the monotonic clock, so that
+// steps of the wall clock have no effect.
+package clock
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Time is a point on a process-local monotonic clock, in nanoseconds since the
+// clock was created.
+type Time int64
+
+// Add returns t+d.
+func (t Time) Add(d time.Duration) Time { return t + Time(d) }
+
+// Sub returns t-u.
+func (t Time) Sub(u Time) time.Duration { return time.Duration(t - u) }
+
+// Before reports whether t is before u.
+func (t Time) Before(u Time) bool { return t < u }
+
+// Clock tells the current time.
+type Clock interface {
+	Now() Time
+}
+
+// Monotonic is a Clock on Go's monotonic clock.
+type Monotonic struct{ start time.Time }
+
+// NewMonotonic returns a Clock that starts at zero.
+func NewMonotonic() *Monotonic { return &Monotonic{start: time.Now()} }
+
+// Now implements Clock.
+func (m *Monotonic) Now() Time { return Time(time.Since(m.start)) }
+
+// Manual is a Clock set by tests and simulations. It is safe for concurrent use.
+type Manual struct{ now atomic.Int64 }
+
+// Now implements Clock.
+func (m *Manual) Now() Time { return Time(m.now.Load()) }
+
+// Set moves the clock to t.
+func (m *Manual) Set(t Time) { m.now.Store(int64(t)) }
+
+// Advance moves the clock forward by d.
+func (m *Manual) Advance(d time.Duration) { m.now.Add(int64(d)) }
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,91 @@
+// Package metrics holds the expvar counters of one entry host. Every refusal
+// and retry reason of package verdict has a counter, built from its table.
+package metrics
+
+import (
+	"expvar"
+
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// Counters are the counters of one entry host. Several entry hosts may run in
+// one process (tests, demo), so counters are not published globally by New.
+type Counters struct {
+	root     *expvar.Map
+	refusals [verdict.NumReasons]*expvar.Int
+	retries  [verdict.NumReasons]*expvar.Int
+	verdicts [3]*expvar.Int
+}
+
+// New returns counters with a row for each reason and verdict.
+func New() *Counters {
+	c := &Counters{root: new(expvar.Map).Init()}
+	refusals, retries, verdicts := new(expvar.Map).Init(), new(expvar.Map).Init(), new(expvar.Map).Init()
+	for _, r := range verdict.Reasons() {
+		c.refusals[r], c.retries[r] = new(expvar.Int), new(expvar.Int)
+		refusals.Set(r.String(), c.refusals[r])
+		retries.Set(r.String(), c.retries[r])
+	}
+	for _, v := range []verdict.Verdict{verdict.MayHaveRun, verdict.NotRun, verdict.Ran} {
+		c.verdicts[v] = new(expvar.Int)
+		verdicts.Set(v.String(), c.verdicts[v])
+	}
+	c.root.Set("refusals", refusals)
+	c.root.Set("retries", retries)
+	c.root.Set("verdicts", verdicts)
+	return c
+}
+
+// Refusal counts one answer without a backend answer, by reason.
+func (c *Counters) Refusal(r verdict.Reason) { c.refusals[r].Add(1) }
+
+// Retry counts one retry, by the reason of the attempt before.
+func (c *Counters) Retry(r verdict.Reason) { c.retries[r].Add(1) }
+
+// Verdict counts one answer to a caller.
+func (c *Counters) Verdict(v verdict.Verdict) { c.verdicts[v].Add(1) }
+
+// Refusals returns the count for reason r.
+func (c *Counters) Refusals(r verdict.Reason) int64 { return c.refusals[r].Value() }
+
+// Retries returns the count for reason r.
+func (c *Counters) Retries(r verdict.Reason) int64 { return c.retries[r].Value() }
+
+// Int returns the named counter, created on first use. Callers keep the
+// pointer: the look-up takes a lock and stays off the request path.
+func (c *Counters) Int(name string) *expvar.Int {
+	if v, ok := c.root.Get(name).(*expvar.Int); ok {
+		return v
+	}
+	c.root.Add(name, 0)
+	return c.root.Get(name).(*expvar.Int)
+}
+
+// Set publishes v under name, for gauges (expvar.Func) and nested maps.
+func (c *Counters) Set(name string, v expvar.Var) { c.root.Set(name, v) }
+
+// Map returns the root map for publication or JSON output.
+func (c *Counters) Map() *expvar.Map { return c.root }
+
+// Value returns the integer behind a dotted name such as "refusals.shed", for
+// alert rules. ok is false when there is no such integer counter.
+func (c *Counters) Value(name string) (value int64, ok bool) {
+	return lookup(c.root, name)
+}
+
+func lookup(m *expvar.Map, name string) (int64, bool) {
+	if v := m.Get(name); v != nil {
+		if i, ok := v.(*expvar.Int); ok {
+			return i.Value(), true
+		}
+	}
+	for i := 0; i < len(name); i++ {
+		if name[i] != '.' {
+			continue
+		}
+		if sub, ok := m.Get(name[:i]).(*expvar.Map); ok {
+			return lookup(sub, name[i+1:])
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/verdict/decide.go
@@ -0,0 +1,70 @@
+package verdict
+
+// Answer is what arrived from the backend server.
+type Answer uint8
+
+const (
+	// AnswerNone means that no byte of an answer arrived.
+	AnswerNone Answer = iota
+	// AnswerCut means that the answer ended early or had a wrong length.
+	AnswerCut
+	// AnswerTooLarge means that the answer exceeded the size limit.
+	AnswerTooLarge
+	// AnswerComplete means that the whole answer arrived.
+	AnswerComplete
+	// AnswerShed means that a complete answer carried the documented shed mark.
+	AnswerShed
+)
+
+// Facts are the typed observations of one attempt on a backend server.
+type Facts struct {
+	Connected bool // a connection was available
+	// FirstByte is true once the first byte of the request may have left.
+	FirstByte bool
+	Written   bool // the whole request was written
+	TimedOut  bool // the attempt ended by its time limit
+	Cancelled bool // the attempt was cancelled by the caller or a hedge
+	Answer    Answer
+}
+
+// Decide returns the verdict and reason for one attempt. It is total: every
+// combination of facts has a result, and NotRun is returned only when no byte
+// left or the backend server itself said that it shed the request.
+func Decide(f Facts) (Verdict, Reason) {
+	switch f.Answer {
+	case AnswerComplete:
+		return Ran, ReasonNone
+	case AnswerShed:
+		return NotRun, ReasonShed
+	case AnswerCut:
+		return MayHaveRun, ReasonAnswerCut
+	case AnswerTooLarge:
+		return MayHaveRun, ReasonAnswerTooLarge
+	}
+	if !f.FirstByte && !f.Written {
+		return NotRun, unsentReason(f)
+	}
+	switch {
+	case f.TimedOut:
+		return MayHaveRun, ReasonAnswerTimeout
+	case f.Cancelled:
+		return MayHaveRun, ReasonCallerGone
+	case f.Written:
+		return MayHaveRun, ReasonAnswerCut
+	default:
+		return MayHaveRun, ReasonWriteFailed
+	}
+}
+
+func unsentReason(f Facts) Reason {
+	switch {
+	case f.TimedOut:
+		return ReasonDeadline
+	case f.Cancelled:
+		return ReasonCallerGone
+	case !f.Connected:
+		return ReasonConnectFailed
+	default:
+		return ReasonWriteFailed
+	}
+}
