--- /dev/null
+++ b/internal/entryhost/entryhost.go
@@ -0,0 +1,85 @@
+// Package entryhost assembles one entry host: controllers, the filter chain and
+// the listeners, and runs its life cycle.
+package entryhost
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/backend"
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/controller/pools"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/filters"
+	"github.com/anvilfront/anvilfront/internal/front"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/settings"
+	"github.com/anvilfront/anvilfront/internal/state"
+)
+
+// maxAnswerBytes is the largest answer body that is read from a backend server.
+const maxAnswerBytes = 8 << 20
+
+// EntryHost is one running entry host.
+type EntryHost struct {
+	log      *zap.Logger
+	settings *settings.Settings
+	store    *state.Store
+	pools    *pools.Controller
+	front    *front.Front
+	listener net.Listener
+	wg       conc.WaitGroup
+}
+
+// New assembles an entry host and opens its listeners.
+func New(s *settings.Settings, log *zap.Logger) (*EntryHost, error) {
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	clk := clock.NewMonotonic()
+	counters := metrics.New()
+	store := state.NewStore(state.Member{Name: s.Name, Address: s.Peer, DataCentre: s.DataCentre, Alive: true})
+	p := pools.New(clk, store)
+	chain := filter.Chain(
+		filters.Deadline{},
+		filters.Route{},
+		filters.Selection{},
+		&filters.Admission{Clock: clk, Admitter: p},
+		&filters.Dispatch{Clock: clk, Admitter: p, Transport: backend.New(maxAnswerBytes)},
+	)
+	return &EntryHost{
+		log: log, settings: s, store: store, pools: p, listener: l,
+		front: front.New(s, chain, store, clk, counters),
+	}, nil
+}
+
+// Address returns the address of the callers' listener.
+func (e *EntryHost) Address() string { return e.listener.Addr().String() }
+
+// Accept puts a manifest in force.
+func (e *EntryHost) Accept(m *manifest.Manifest) {
+	e.pools.Apply(m)
+	e.store.Update(func(s *state.Snapshot) { s.Manifest = m })
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (e *EntryHost) Run(ctx context.Context) error {
+	e.wg.Go(func() {
+		if err := e.front.Serve(e.listener); err != nil {
+			e.log.Named("front").Error("Listener failed.", zap.Error(err))
+		}
+	})
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(e.settings.StopBound))
+	defer cancel()
+	err := e.front.Shutdown(stop)
+	e.wg.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/filter/ports.go
@@ -0,0 +1,83 @@
+package filter
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// GrantStart is how long after asking for a grant the request may be started.
+const GrantStart = 100 * time.Millisecond
+
+// Ask describes a request for one slot on a backend server of a pool.
+type Ask struct {
+	Priority   int           // 0 to 9, from the route
+	Route      string        // route name
+	Idempotent bool          // from the route
+	Remaining  time.Duration // time left until the request's deadline
+	RunLimit   time.Duration // how long the slot stays taken when it is not released
+	Avoid      []string      // backend servers tried before
+}
+
+// Grant is one slot on one backend server.
+type Grant struct {
+	ID      uint64 // unique per holder; 0 for a slot under the reduced limit
+	Pool    *manifest.Pool
+	Server  *manifest.BackendServer
+	Holder  string     // name of the entry host that granted the slot
+	StartBy clock.Time // the first byte must leave before this, on the asker's clock
+}
+
+// Report is what the asker tells the holder when a grant ends.
+type Report struct {
+	Verdict     verdict.Verdict
+	Reason      verdict.Reason
+	ServiceTime time.Duration // first byte written to answer complete; 0 if not sent
+	Failed      bool          // server error, cut or missing answer
+	Crashed     bool          // the connection was reset while the request ran
+	Instance    string        // Backend-Instance of the answer, or ""
+	Inflight    int           // Backend-Load of the answer; -1 if absent
+}
+
+// Admitter grants slots. Errors are *verdict.Error with NotRun, because a
+// grant that was lost was never used.
+type Admitter interface {
+	Acquire(ctx context.Context, pool *manifest.Pool, ask Ask) (*Grant, error)
+	Release(g *Grant, r Report)
+}
+
+// Attempt is one request to one backend server.
+type Attempt struct {
+	Address string // IP:port
+	Request *Request
+	// Remaining is the time budget passed on to the backend server.
+	Remaining time.Duration
+	// Limit is how long to wait for the whole answer.
+	Limit time.Duration
+	// BeforeFirstByte runs right before the first byte may leave; an error
+	// stops the attempt unsent. It may be nil.
+	BeforeFirstByte func() error
+}
+
+// Result is what came of an attempt.
+type Result struct {
+	Facts       verdict.Facts
+	Response    *Response     // set when Facts.Answer is AnswerComplete or AnswerShed
+	ServiceTime time.Duration // first byte written to last byte read
+	Reset       bool          // the peer closed or reset the connection while the request ran
+	Err         error         // detail for logs; may be nil
+}
+
+// Transport sends requests to backend servers.
+type Transport interface {
+	Do(ctx context.Context, a *Attempt) Result
+}
+
+// SuspectReporter hears of requests that were in flight on a server that died.
+type SuspectReporter interface {
+	Crashed(fingerprint uint64, idempotent bool, others int)
+	Succeeded(fingerprint uint64)
+}
--- /dev/null
+++ b/internal/filters/dispatch.go
@@ -0,0 +1,86 @@
+package filters
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// Dispatch sends the request to the backend server of the grant, decides the
+// verdict and releases the grant.
+type Dispatch struct {
+	Clock     clock.Clock
+	Admitter  filter.Admitter
+	Transport filter.Transport
+}
+
+// Name implements filter.Filter.
+func (*Dispatch) Name() string { return "dispatch" }
+
+// Handle implements filter.Filter. It is the last filter and ignores next.
+func (d *Dispatch) Handle(ctx context.Context, x *filter.Exchange, _ filter.Handler) filter.Outcome {
+	g := x.Grant
+	x.Tried = append(x.Tried, g.Server.Name)
+	limit := x.Deadline.Sub(d.Clock.Now())
+	if !x.Route.Idempotent {
+		// A caller that goes away does not cancel an order.
+		ctx = context.WithoutCancel(ctx)
+		limit = time.Duration(x.Service.RunLimit)
+	}
+	refusal := verdict.ReasonNone
+	res := d.Transport.Do(ctx, &filter.Attempt{
+		Address: g.Server.Address, Request: x.Request,
+		Remaining: x.Deadline.Sub(d.Clock.Now()), Limit: limit,
+		BeforeFirstByte: func() error {
+			var err error
+			refusal, err = d.check(x)
+			return err
+		},
+	})
+	v, reason := verdict.Decide(res.Facts)
+	if refusal != verdict.ReasonNone {
+		reason = refusal
+	}
+	d.Admitter.Release(g, report(v, reason, &res))
+	out := filter.Outcome{Verdict: v, Reason: reason, Cause: res.Err}
+	if v == verdict.Ran {
+		out.Response = res.Response
+	}
+	return out
+}
+
+// check runs right before the first byte.
+func (d *Dispatch) check(x *filter.Exchange) (verdict.Reason, error) {
+	now := d.Clock.Now()
+	switch {
+	case !now.Before(x.Grant.StartBy):
+		return verdict.ReasonGrantExpired, verdict.New(verdict.NotRun, verdict.ReasonGrantExpired, nil)
+	case !now.Before(x.Deadline):
+		return verdict.ReasonDeadline, verdict.New(verdict.NotRun, verdict.ReasonDeadline, nil)
+	case x.BeforeDispatch != nil:
+		if err := x.BeforeDispatch(); err != nil {
+			return verdict.From(err).Reason, err
+		}
+	}
+	return verdict.ReasonNone, nil
+}
+
+func report(v verdict.Verdict, reason verdict.Reason, res *filter.Result) filter.Report {
+	r := filter.Report{Verdict: v, Reason: reason, ServiceTime: res.ServiceTime, Crashed: res.Reset, Inflight: -1}
+	r.Failed = v == verdict.MayHaveRun
+	if res.Response != nil {
+		r.Failed = r.Failed || res.Response.Status >= 500 && v == verdict.Ran
+		r.Instance = res.Response.Get(filter.HeaderInstance)
+		if load, _, ok := strings.Cut(res.Response.Get(filter.HeaderLoad), "/"); ok {
+			if n, err := strconv.Atoi(load); err == nil {
+				r.Inflight = n
+			}
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,179 @@
+// Package manifest holds the dynamic configuration that the operators' build
+// pipeline publishes. A manifest is accepted or refused as a whole, by rules
+// that depend on its bytes alone, so that every entry host decides alike.
+package manifest
+
+import (
+	"time"
+)
+
+// MaxBytes is the largest manifest in bytes, the value limit of the platform.
+const MaxBytes = 1 << 20
+
+// MaxShard is the largest number of backend servers in one pool. Larger sets
+// of one service in one data centre are split into shards.
+const MaxShard = 16
+
+// Duration is a time.Duration written in TOML as a Go duration string ("250ms").
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// File is the TOML form of a manifest.
+type File struct {
+	Revision    uint64       `toml:"revision"` // increases with each publication, from 1
+	DataCentres []DataCentre `toml:"data_centres"`
+	EntryHosts  []EntryHost  `toml:"entry_hosts"` // initial list; the platform's host list is merged in
+	Services    []Service    `toml:"services"`
+	Routes      []Route      `toml:"routes"` // first match wins
+	Alerts      []AlertRule  `toml:"alerts"`
+	Dropped     []Dropped    `toml:"dropped"`
+}
+
+// DataCentre is a site with backend servers and entry hosts.
+type DataCentre struct {
+	Name   string `toml:"name"`
+	Region string `toml:"region"`
+	Out    bool   `toml:"out"` // true: receives no new work
+}
+
+// EntryHost is one host that runs anvilfront.
+type EntryHost struct {
+	Name       string `toml:"name"`
+	Address    string `toml:"address"` // IP:port of the peer listener
+	DataCentre string `toml:"data_centre"`
+}
+
+// Service is a set of backend servers that run the same application.
+type Service struct {
+	Name                 string          `toml:"name"`
+	RunLimit             Duration        `toml:"run_limit"`              // longest run of a request; default 10s
+	ProbesPerSecond      float64         `toml:"probes_per_second"`      // measuring budget over the fleet; default 0 (no probes)
+	ProbeBytesPerSecond  float64         `toml:"probe_bytes_per_second"` // measuring budget over the fleet; default 0 (no limit besides probes)
+	ReportAge            Duration        `toml:"report_age"`             // age after which a load report is ignored; default 500ms
+	MaxEjectedPercent    int             `toml:"max_ejected_percent"`    // share of the service that may be ejected; default 30
+	QueueLength          int             `toml:"queue_length"`           // waiting requests per pool; default 64
+	HedgePercent         float64         `toml:"hedge_percent"`          // hedged share of idempotent requests; default 0 (off)
+	ConnectionsPerSecond float64         `toml:"connections_per_second"` // connections opened ahead, per backend server and entry host; default 5
+	BackendServers       []BackendServer `toml:"backend_servers"`
+}
+
+// BackendServer is one process that runs requests of a service.
+type BackendServer struct {
+	Name        string `toml:"name"`
+	Address     string `toml:"address"` // IP:port
+	DataCentre  string `toml:"data_centre"`
+	Slots       int    `toml:"slots"`       // concurrent requests it accepts
+	Connections int    `toml:"connections"` // open connections over the fleet; default 250
+	Leaving     bool   `toml:"leaving"`     // true: receives no new work
+}
+
+// Route maps requests to a service.
+type Route struct {
+	Name         string   `toml:"name"`
+	Source       string   `toml:"source"`      // file:line in the setup that was replaced
+	Host         string   `toml:"host"`        // exact host; empty matches any
+	Path         string   `toml:"path"`        // exact path; empty matches any
+	PathPrefix   string   `toml:"path_prefix"` // path prefix at a segment boundary; empty matches any
+	Methods      []string `toml:"methods"`     // empty matches any
+	Service      string   `toml:"service"`
+	Idempotent   bool     `toml:"idempotent"`
+	KeyRequired  bool     `toml:"key_required"`  // only for routes that are not idempotent
+	Priority     int      `toml:"priority"`      // 0 to 9; higher is served first; default 0
+	Deadline     Duration `toml:"deadline"`      // default 2s
+	Retries      int      `toml:"retries"`       // retries of one request; default 0
+	RetryPercent float64  `toml:"retry_percent"` // retries as a share of the route's requests; default 10
+}
+
+// AlertRule raises an alert on a counter.
+type AlertRule struct {
+	Name       string   `toml:"name"`
+	Source     string   `toml:"source"`     // file:line in the setup that was replaced
+	Metric     string   `toml:"metric"`     // dotted counter name, such as refusals.overload
+	Rate       bool     `toml:"rate"`       // true: compare the increase per second
+	Comparison string   `toml:"comparison"` // one of > >= < <=
+	Threshold  float64  `toml:"threshold"`
+	For        Duration `toml:"for"` // how long the comparison must hold; default 0
+}
+
+// Dropped names a line of the old setup that is left out on purpose.
+type Dropped struct {
+	Source string `toml:"source"` // file:line
+	Reason string `toml:"reason"`
+}
+
+// PoolID names a pool: a shard of one service's backend servers in one data centre.
+type PoolID struct {
+	Service    string
+	DataCentre string
+	Shard      int
+}
+
+// Pool is the compiled form of a pool. It is immutable.
+type Pool struct {
+	ID      PoolID
+	Service *Service
+	Servers []*BackendServer // at most MaxShard, in manifest order
+	Out     bool             // the data centre is out
+}
+
+// Manifest is an accepted manifest. It is immutable and safe for concurrent use.
+type Manifest struct {
+	File     *File
+	Raw      []byte   // the bytes as published
+	Digest   [32]byte // SHA-256 of Raw
+	Services map[string]*Service
+	Pools    map[PoolID]*Pool
+	ByName   map[string][]*Pool // pools of a service, in manifest order
+	Centres  map[string]*DataCentre
+}
+
+// Match returns the first route that matches, or nil.
+func (m *Manifest) Match(method, host, path string) *Route {
+	for i := range m.File.Routes {
+		if r := &m.File.Routes[i]; r.Matches(method, host, path) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Matches reports whether the route matches a request.
+func (r *Route) Matches(method, host, path string) bool {
+	if r.Host != "" && r.Host != host {
+		return false
+	}
+	if r.Path != "" && r.Path != path {
+		return false
+	}
+	if r.PathPrefix != "" && !hasSegmentPrefix(path, r.PathPrefix) {
+		return false
+	}
+	return len(r.Methods) == 0 || contains(r.Methods, method)
+}
+
+func hasSegmentPrefix(path, prefix string) bool {
+	if len(path) < len(prefix) || path[:len(prefix)] != prefix {
+		return false
+	}
+	return len(path) == len(prefix) || prefix[len(prefix)-1] == '/' || path[len(prefix)] == '/'
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/peer/gossip.go
@@ -0,0 +1,14 @@
+package peer
+
+import "github.com/anvilfront/anvilfront/internal/wire"
+
+// Gossip spreads small updates to all entry hosts. The members controller
+// implements it by piggybacking updates on heartbeats.
+type Gossip interface {
+	// Publish spreads u. It never blocks; when the bounded queue is full, the
+	// oldest update is dropped and counted.
+	Publish(u wire.Update)
+	// Handle registers f for updates from other entry hosts. f must not block.
+	// Call it before the members controller runs.
+	Handle(f func(from string, u wire.Update))
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,79 @@
+// Package settings holds the static settings of one process, read once at start.
+package settings
+
+import (
+	"bytes"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/anvilfront/anvilfront/internal/manifest"
+)
+
+// Settings are the settings of one entry host.
+type Settings struct {
+	Name       string   `toml:"name"`        // unique name of the entry host
+	DataCentre string   `toml:"data_centre"` // where it stands
+	Listen     string   `toml:"listen"`      // IP:port for callers
+	Peer       string   `toml:"peer"`        // IP:port for other entry hosts
+	Operator   string   `toml:"operator"`    // IP:port for operators
+	Platform   []string `toml:"platform"`    // base URLs of the configuration service
+	Peers      []string `toml:"peers"`       // peer addresses to start from
+	LogLevel   string   `toml:"log_level"`   // debug, info, warn or error; default info
+	Plaintext  bool     `toml:"plaintext"`   // true: no TLS between entry hosts
+
+	CallerTLS TLS `toml:"caller_tls"` // empty: plain HTTP towards callers
+	PeerTLS   TLS `toml:"peer_tls"`   // required unless plaintext
+
+	MaxHeaderBytes int               `toml:"max_header_bytes"` // default 16384
+	MaxBodyBytes   int               `toml:"max_body_bytes"`   // default 1048576
+	MaxConnections int               `toml:"max_connections"`  // callers' connections; default 4096
+	IdleTimeout    manifest.Duration `toml:"idle_timeout"`     // of a caller's connection; default 60s
+	ReadTimeout    manifest.Duration `toml:"read_timeout"`     // for a whole request; default 10s
+	Notice         manifest.Duration `toml:"notice"`           // time for the balancer to see readiness false; default 3s
+	StopBound      manifest.Duration `toml:"stop_bound"`       // longest graceful stop after the notice; default 30s
+}
+
+// TLS names PEM files.
+type TLS struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authorities string `toml:"authorities"` // certificates of the accepted issuers
+}
+
+// Load reads and checks a settings file. Unknown keys are errors.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, errors.Wrapf(err, "settings %s", path)
+	}
+	return s, nil
+}
+
+// Parse decodes and checks settings.
+func Parse(raw []byte) (*Settings, error) {
+	s := Default()
+	dec := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
+	if err := dec.Decode(s); err != nil {
+		return nil, err
+	}
+	if s.Name == "" {
+		return nil, errors.New("name is missing")
+	}
+	return s, nil
+}
+
+// Default returns settings with every default in place.
+func Default() *Settings {
+	return &Settings{
+		LogLevel: "info", MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, MaxConnections: 4096,
+		IdleTimeout: seconds(60), ReadTimeout: seconds(10), Notice: seconds(3), StopBound: seconds(30),
+	}
+}
+
+func seconds(n int64) manifest.Duration { return manifest.Duration(n * 1e9) }
