Add membership, leases, manifest spreading and peer bounds

Cause: entry hosts need shared state without a store that can be written to. Change: SWIM-like failure detector, majority leases, manifest spreading with watchers and notices, pause guard, platform client, bounded gob streams with mutual TLS, and in-memory network and platform fakes.

--- /dev/null
+++ b/internal/controller/members/hosts.go
@@ -0,0 +1,27 @@
+package members
+
+import (
+	"context"
+
+	"github.com/anvilfront/anvilfront/internal/membership"
+	"github.com/anvilfront/anvilfront/internal/platform"
+)
+
+// PlatformHosts reads Config.Hosts from the configuration service.
+func PlatformHosts(p *platform.Client) func(ctx context.Context) ([]membership.Candidate, error) {
+	return func(ctx context.Context) ([]membership.Candidate, error) {
+		list, err := p.Hosts(ctx)
+		if err != nil {
+			return nil, err
+		}
+		out := make([]membership.Candidate, 0, len(list))
+		for _, h := range list {
+			if h.Name != "" && h.Address != "" {
+				out = append(out, membership.Candidate{
+					Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Leaving: h.State == "leaving",
+				})
+			}
+		}
+		return out, nil
+	}
+}
--- /dev/null
+++ b/internal/controller/members/publish.go
@@ -0,0 +1,133 @@
+package members
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/membership"
+	"github.com/anvilfront/anvilfront/internal/state"
+)
+
+// pollHosts reads the platform's host list. The last list stays in use while
+// the platform is down, since an outdated list is better than none.
+func (c *Controller) pollHosts(ctx context.Context) {
+	for {
+		readCtx, cancel := context.WithTimeout(ctx, hostsTimeout)
+		list, err := c.Hosts(readCtx)
+		cancel()
+		if err != nil {
+			c.hostErrors.Add(1)
+			c.Log.Debug("Host list not read.", zap.Error(err))
+		} else {
+			c.mu.Lock()
+			c.platform = list
+			c.merge()
+			c.mu.Unlock()
+		}
+		c.mu.Lock()
+		wait := hostsInterval*3/4 + time.Duration(c.Rand.Int64N(int64(hostsInterval/2)))
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// readManifest takes over the entry hosts of a new manifest.
+func (c *Controller) readManifest() {
+	m := c.Store.Load().Manifest
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m != c.manifest {
+		c.manifest = m
+		c.merge()
+	}
+}
+
+// merge joins the entry hosts of the manifest and of the platform's list. The
+// platform's entry wins, since a host may be replaced without a new manifest.
+func (c *Controller) merge() {
+	c.detector.SetCandidates(c.Clock.Now(), candidates(c.manifest, c.platform))
+	c.detector.MarkChanged()
+	c.publish()
+}
+
+func candidates(m *manifest.Manifest, platform []membership.Candidate) []membership.Candidate {
+	byName := map[string]membership.Candidate{}
+	if m != nil {
+		for _, h := range m.File.EntryHosts {
+			byName[h.Name] = membership.Candidate{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre}
+		}
+	}
+	for _, h := range platform {
+		byName[h.Name] = h
+	}
+	names := make([]string, 0, len(byName))
+	for name := range byName {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	out := make([]membership.Candidate, 0, len(names))
+	for _, name := range names {
+		out = append(out, byName[name])
+	}
+	return out
+}
+
+// publish puts a new value into the snapshot when something changed. Callers
+// hold mu.
+func (c *Controller) publish() {
+	if !c.detector.Changed() {
+		return
+	}
+	list := candidates(c.manifest, c.platform)
+	leaving := c.detector.IsLeaving()
+	next := &state.Members{
+		Self:       c.Store.Load().Members.Self,
+		ByName:     map[string]*state.Member{},
+		Successors: map[uint64]*state.Member{},
+	}
+	next.Self.Alive = true
+	next.Self.Leaving = leaving
+	for _, h := range list {
+		next.Listed = append(next.Listed, h.Name)
+		if h.Name == next.Self.Name && h.Leaving {
+			next.Self.Leaving = true
+		}
+	}
+	for name, m := range c.detector.Members() {
+		next.ByName[name] = &state.Member{
+			Name: name, Address: m.Address, DataCentre: m.DataCentre, Incarnation: m.Incarnation,
+			Alive: m.Reachable(), Leaving: m.Retire || m.Status == membership.Leaving,
+		}
+	}
+	self := next.Self
+	next.ByName[self.Name] = &self
+	if len(list) == 0 {
+		next.Listed = unlisted(next)
+	}
+	for _, s := range c.successors {
+		if m := next.ByName[s.Name]; m != nil {
+			next.Successors[s.Incarnation] = m
+		}
+	}
+	c.Store.Update(func(s *state.Snapshot) { s.Members = next })
+}
+
+// unlisted stands in for the lists when neither the manifest nor the platform
+// names any entry host: the hosts that were heard of. Such lists differ for a
+// while after a start, so a fleet of several hosts should be listed.
+func unlisted(m *state.Members) []string {
+	var names []string
+	for name := range m.ByName {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/fake/network.go
@@ -0,0 +1,153 @@
+package fake
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/anvilfront/anvilfront/internal/peer"
+)
+
+// Fault is what happens to one call between entry hosts.
+type Fault struct {
+	Drop    bool          // the request is lost
+	Delay   time.Duration // the request arrives late, also after the caller gave up
+	NoReply bool          // the request arrives, the answer is lost
+}
+
+// Network connects entry hosts within one process. It carries the real gob
+// stream over net.Pipe, so that it also works in a synctest bubble.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	rule      atomic.Pointer[func(from, to, method string) Fault]
+}
+
+// NewNetwork returns a network without faults.
+func NewNetwork() *Network { return &Network{listeners: map[string]*pipeListener{}} }
+
+// SetRule replaces the rule of faults; nil: no faults.
+func (n *Network) SetRule(f func(from, to, method string) Fault) {
+	if f == nil {
+		n.rule.Store(nil)
+		return
+	}
+	n.rule.Store(&f)
+}
+
+// Listen opens a listener on the address, replacing a closed one.
+func (n *Network) Listen(address string) net.Listener {
+	l := &pipeListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = l
+	return l
+}
+
+// Caller returns a peer.Caller for the entry host at from.
+func (n *Network) Caller(from string) *Caller {
+	return &Caller{network: n, from: from, Client: peer.NewClient(n.dial)}
+}
+
+func (n *Network) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	here, there := net.Pipe()
+	select {
+	case l.conns <- there:
+		return here, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Caller is a peer.Client with faults.
+type Caller struct {
+	*peer.Client
+	network *Network
+	from    string
+}
+
+// Call implements peer.Caller.
+func (c *Caller) Call(ctx context.Context, class peer.Class, address, method string, args, reply any) error {
+	var f Fault
+	if rule := c.network.rule.Load(); rule != nil {
+		f = (*rule)(c.from, address, method)
+	}
+	switch {
+	case f.Drop:
+		<-ctx.Done()
+		return peer.ErrUnconfirmed
+	case f.Delay > 0:
+		return c.late(ctx, f, class, address, method, args, reply)
+	case f.NoReply:
+		_ = c.Client.Call(ctx, class, address, method, args, reflect.New(reflect.TypeOf(reply).Elem()).Interface())
+		<-ctx.Done()
+		return peer.ErrUnconfirmed
+	}
+	return c.Client.Call(ctx, class, address, method, args, reply)
+}
+
+// late delivers the request after the delay, whether or not the caller waits.
+func (c *Caller) late(ctx context.Context, f Fault, class peer.Class, address, method string, args, reply any) error {
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	done := make(chan error, 1)
+	go func() {
+		time.Sleep(f.Delay)
+		callCtx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		done <- c.Client.Call(callCtx, class, address, method, args, answer.Interface())
+	}()
+	select {
+	case err := <-done:
+		reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		return err
+	case <-ctx.Done():
+		return peer.ErrUnconfirmed
+	}
+}
+
+type pipeListener struct {
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return pipeAddr(l.address) }
+
+type pipeAddr string
+
+// Network implements net.Addr.
+func (pipeAddr) Network() string { return "pipe" }
+
+// String implements net.Addr.
+func (a pipeAddr) String() string { return string(a) }
--- /dev/null
+++ b/internal/fleettest/fleettest.go
@@ -0,0 +1,222 @@
+// Package fleettest runs the control part of several entry hosts in one
+// process, over fake.Network and fake.Platform, for tests and measurements.
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/controller/leases"
+	"github.com/anvilfront/anvilfront/internal/controller/manifests"
+	"github.com/anvilfront/anvilfront/internal/controller/members"
+	"github.com/anvilfront/anvilfront/internal/controller/pause"
+	"github.com/anvilfront/anvilfront/internal/fake"
+	"github.com/anvilfront/anvilfront/internal/lease"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/platform"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/wire"
+)
+
+// Fleet is a set of entry hosts.
+type Fleet struct {
+	Network  *fake.Network
+	Platform *fake.Platform
+	Clock    clock.Clock
+	Rand     *rand.Rand
+	Hosts    map[string]*Host
+	Seeds    []string
+	// UseHosts makes the hosts read the platform's host list.
+	UseHosts bool
+}
+
+// Host is the control part of one entry host.
+type Host struct {
+	Name, Address, DataCentre string
+
+	Store     *state.Store
+	Counters  *metrics.Counters
+	Members   *members.Controller
+	Manifests *manifests.Controller
+	Leases    *leases.Controller
+	Handover  *Handover
+	Caller    *fake.Caller
+	Server    *peer.Server
+
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+}
+
+// Handover records what the leases controller hands over.
+type Handover struct {
+	Inflight map[manifest.PoolID][]wire.ServerInflight
+	Adopted  []wire.PoolRelease
+}
+
+// New returns a fleet without hosts.
+func New(seed uint64) *Fleet {
+	return &Fleet{
+		Network: fake.NewNetwork(), Platform: fake.NewPlatform(), Clock: clock.NewMonotonic(),
+		Rand: rand.New(rand.NewPCG(seed, seed)), Hosts: map[string]*Host{},
+	}
+}
+
+// Name returns the name of host i.
+func Name(i int) string { return fmt.Sprintf("eh%02d", i) }
+
+// Address returns the peer address of host i.
+func Address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
+
+// Centre returns the data centre of host i, in turn.
+func Centre(i, centres int) string { return fmt.Sprintf("dc%d", i%centres) }
+
+// Start starts host i. A host of the same name that runs is a replaced one.
+func (f *Fleet) Start(i, centres int) *Host {
+	h := &Host{
+		Name: Name(i), Address: Address(i), DataCentre: Centre(i, centres),
+		Counters: metrics.New(), Handover: &Handover{Inflight: map[manifest.PoolID][]wire.ServerInflight{}},
+	}
+	h.Store = state.NewStore(state.Member{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Incarnation: f.Rand.Uint64() | 1, Alive: true})
+	h.Caller = f.Network.Caller(h.Address)
+	h.Server = peer.NewServer(f.Network.Listen(h.Address))
+	f.assemble(h)
+	f.Hosts[h.Name] = h
+	f.run(h)
+	return h
+}
+
+func (f *Fleet) newRand() *rand.Rand { return rand.New(rand.NewPCG(f.Rand.Uint64(), f.Rand.Uint64())) }
+
+func (f *Fleet) assemble(h *Host) {
+	log := zap.NewNop()
+	service := platform.New([]string{"http://platform"}, f.Platform, h.Counters)
+	mc := members.Config{
+		Clock: f.Clock, Store: h.Store, Caller: h.Caller, Counters: h.Counters, Log: log, Rand: f.newRand(), Seeds: f.Seeds,
+	}
+	if f.UseHosts {
+		mc.Hosts = members.PlatformHosts(service)
+	}
+	h.Members = members.New(mc)
+	h.Manifests = manifests.New(manifests.Config{
+		Clock: f.Clock, Store: h.Store, Caller: h.Caller, Platform: service, Header: h.Members.Header,
+		Counters: h.Counters, Log: log, Rand: f.newRand(), Seeds: f.Seeds,
+	})
+	h.Members.OnRevision(h.Manifests.Heard)
+	h.Leases = leases.New(leases.Config{
+		Clock: f.Clock, Store: h.Store, Caller: h.Caller, Gossip: h.Members, Header: h.Members.Header,
+		Handover: h.Handover, Counters: h.Counters, Log: log, Rand: f.newRand(), Alone: len(f.Seeds) == 0,
+	})
+	for _, register := range []func(*peer.Server) error{h.Members.Register, h.Manifests.Register, h.Leases.Register} {
+		if err := register(h.Server); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func (f *Fleet) run(h *Host) {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	guard := &pause.Guard{Clock: f.Clock, Store: h.Store, Resync: h.Manifests.Resync, Counters: h.Counters, Log: zap.NewNop()}
+	h.wg.Go(h.Server.Serve)
+	h.wg.Go(func() { guard.Run(ctx) })
+	h.wg.Go(func() { h.Members.Run(ctx) })
+	h.wg.Go(func() {
+		h.Manifests.Start(ctx)
+		h.Manifests.Run(ctx)
+	})
+	h.wg.Go(func() { h.Leases.Run(ctx) })
+}
+
+// Stop stops the host as planned.
+func (h *Host) Stop(ctx context.Context) {
+	h.Members.Leave(ctx)
+	h.Leases.Stop(ctx)
+	h.Kill()
+}
+
+// Kill ends the host without telling anyone.
+func (h *Host) Kill() {
+	h.cancel()
+	h.Server.Close()
+	h.Caller.Close()
+	h.wg.Wait()
+}
+
+// StopAll kills all hosts.
+func (f *Fleet) StopAll() {
+	for _, h := range f.Hosts {
+		h.Kill()
+	}
+}
+
+// Manifest returns the bytes of a manifest with the given numbers.
+func Manifest(revision, hosts, centres, servers, services int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "revision = %d\n", revision)
+	for i := range centres {
+		fmt.Fprintf(&b, "[[data_centres]]\nname = %q\nregion = \"r1\"\n", Centre(i, centres))
+	}
+	for i := range hosts {
+		fmt.Fprintf(&b, "[[entry_hosts]]\nname = %q\naddress = %q\ndata_centre = %q\n", Name(i), Address(i), Centre(i, centres))
+	}
+	for s := range services {
+		fmt.Fprintf(&b, "[[services]]\nname = \"service%d\"\n", s)
+		for i := s; i < servers; i += services {
+			fmt.Fprintf(&b, "[[services.backend_servers]]\nname = \"b%d\"\naddress = %q\ndata_centre = %q\nslots = 4\n",
+				i, net.JoinHostPort(fmt.Sprintf("10.1.%d.%d", i/250, i%250+1), "80"), Centre(i/services, centres))
+		}
+	}
+	return []byte(b.String())
+}
+
+// Seal implements lease.Handover.
+func (h *Handover) Seal(pools []manifest.PoolID) []wire.PoolRelease {
+	var out []wire.PoolRelease
+	for _, id := range pools {
+		out = append(out, wire.PoolRelease{Pool: id, Inflight: h.Inflight[id]})
+	}
+	return out
+}
+
+// Adopt implements lease.Handover.
+func (h *Handover) Adopt(releases []wire.PoolRelease) { h.Adopted = append(h.Adopted, releases...) }
+
+// Holders returns which hosts hold a valid lease, by pool.
+func (f *Fleet) Holders() map[manifest.PoolID][]string {
+	out := map[manifest.PoolID][]string{}
+	now := f.Clock.Now()
+	for name, h := range f.Hosts {
+		for id, l := range h.Store.Load().Leases.Held {
+			if l.Valid(now) {
+				out[id] = append(out[id], name)
+			}
+		}
+	}
+	return out
+}
+
+// Wait checks the condition every 50 ms for up to d and reports whether it
+// came true, and after how long.
+func (f *Fleet) Wait(d time.Duration, condition func() bool) (time.Duration, bool) {
+	start := time.Now()
+	for time.Since(start) < d {
+		if condition() {
+			return time.Since(start), true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(start), condition()
+}
+
+var _ lease.Handover = (*Handover)(nil)
+var _ peer.Gossip = (*members.Controller)(nil)
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,402 @@
+// Package membership decides which entry hosts are alive, in the manner of
+// SWIM, and which news to spread. It is pure: inputs are messages and times,
+// outputs are actions. It is not safe for concurrent use.
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/wire"
+)
+
+// Status is the state of a member. At the same sequence number the higher
+// status wins; the member itself refutes with a higher sequence number.
+type Status uint8
+
+const (
+	Alive   Status = iota // answers heartbeats
+	Leaving               // announced a planned stop, still answers
+	Suspect               // did not answer; counts as alive until the suspicion expires
+	Dead                  // did not answer and did not refute
+	Unknown Status = 255  // listed, never heard of; not sent to others
+)
+
+// Periods and bounds of the failure detector.
+const (
+	Period      = 200 * time.Millisecond // between heartbeats
+	PingTimeout = 200 * time.Millisecond // for a direct answer, also from another region
+	ViaTimeout  = 300 * time.Millisecond // for an indirect answer
+	// SuspectTimeout is the time to refute. It is five periods, so that a
+	// suspicion and its refutation both reach a fleet of 64 hosts.
+	SuspectTimeout = time.Second
+	// Forget is how long a dead host that no list names is remembered, so that
+	// old news does not bring it back.
+	Forget = time.Minute
+	// RetryDead is the interval of heartbeats to dead or unknown hosts.
+	RetryDead  = time.Second
+	Indirect   = 2    // hosts asked to ping on behalf of this one
+	MaxUpdates = 8    // updates per message sent
+	MaxReceive = 64   // updates taken from one message
+	MaxMembers = 1024 // members known
+	maxName    = 128  // bytes of a name, address or data centre
+)
+
+// Candidate is a host named by the manifest or by the platform.
+type Candidate struct {
+	Name, Address, DataCentre string
+	Leaving                   bool
+}
+
+// Member is one other entry host.
+type Member struct {
+	wire.Member
+	Status  Status
+	Listed  bool
+	Retire  bool       // listed as leaving
+	Changed clock.Time // of Status
+	tried   bool       // a heartbeat was sent
+	renew   bool       // a new process that has to raise its sequence number
+}
+
+// Reachable reports whether the member counts as alive.
+func (m *Member) Reachable() bool { return m.Status <= Suspect }
+
+// Ping is the action of sending a heartbeat.
+type Ping struct {
+	Name, Address string
+}
+
+// Detector is the failure detector of one entry host.
+type Detector struct {
+	self      wire.Member
+	leaving   bool
+	members   map[string]*Member
+	order     []string // round robin of heartbeats to reachable members
+	lastRetry clock.Time
+	retry     int
+	queue     *queue
+	sequence  uint64 // of published updates
+	rand      *rand.Rand
+	changed   bool
+}
+
+// New returns a detector for self, which must carry name, address, data centre
+// and incarnation.
+func New(self wire.Member, r *rand.Rand) *Detector {
+	d := &Detector{self: self, members: map[string]*Member{}, queue: newQueue(), rand: r, changed: true}
+	d.self.Sequence = 1
+	d.announce()
+	return d
+}
+
+// Self returns the own record with its sequence number.
+func (d *Detector) Self() wire.Member { return d.self }
+
+// Members returns the other members by name. The caller must not change them.
+func (d *Detector) Members() map[string]*Member { return d.members }
+
+// Changed reports whether members changed since the last call.
+func (d *Detector) Changed() bool {
+	c := d.changed
+	d.changed = false
+	return c
+}
+
+// MarkChanged makes the next Changed return true.
+func (d *Detector) MarkChanged() { d.changed = true }
+
+// IsLeaving reports whether Leave was called.
+func (d *Detector) IsLeaving() bool { return d.leaving }
+
+// Dropped returns how many queued updates were dropped.
+func (d *Detector) Dropped() int64 { return d.queue.dropped }
+
+func (d *Detector) announce() {
+	m := d.self
+	m.Status = uint8(Alive)
+	if d.leaving {
+		m.Status = uint8(Leaving)
+	}
+	d.queue.push(wire.Update{Origin: m.Name, Incarnation: m.Incarnation, Sequence: m.Sequence, Member: &m})
+}
+
+// Leave announces a planned stop.
+func (d *Detector) Leave() {
+	d.leaving = true
+	d.self.Sequence++
+	d.announce()
+}
+
+// SetCandidates replaces the hosts that the lists name.
+func (d *Detector) SetCandidates(now clock.Time, list []Candidate) {
+	listed := map[string]bool{}
+	for _, c := range list {
+		if c.Name == d.self.Name || c.Name == "" {
+			continue
+		}
+		listed[c.Name] = true
+		m := d.members[c.Name]
+		if m == nil {
+			m = d.add(wire.Member{Name: c.Name, Address: c.Address, DataCentre: c.DataCentre}, Unknown, now)
+			if m == nil {
+				continue
+			}
+		}
+		if !m.Reachable() && m.Address != c.Address {
+			m.Address, d.changed = c.Address, true
+		}
+		if !m.Listed || m.Retire != c.Leaving {
+			m.Listed, m.Retire, d.changed = true, c.Leaving, true
+		}
+	}
+	for name, m := range d.members {
+		if m.Listed && !listed[name] {
+			m.Listed, m.Retire, d.changed = false, false, true
+			if m.Status == Unknown {
+				d.remove(name)
+			}
+		}
+	}
+}
+
+func (d *Detector) add(w wire.Member, s Status, now clock.Time) *Member {
+	if len(d.members) >= MaxMembers {
+		return nil
+	}
+	m := &Member{Member: w, Status: s, Changed: now}
+	d.members[w.Name] = m
+	at := d.rand.IntN(len(d.order) + 1)
+	d.order = slices.Insert(d.order, at, w.Name)
+	d.changed = true
+	return m
+}
+
+func (d *Detector) remove(name string) {
+	delete(d.members, name)
+	if i := slices.Index(d.order, name); i >= 0 {
+		d.order = slices.Delete(d.order, i, i+1)
+	}
+	d.changed = true
+}
+
+// Tick runs once per Period. It expires suspicions and returns the heartbeats
+// to send: one to a reachable member and, once per RetryDead, one to a member
+// that is not.
+func (d *Detector) Tick(now clock.Time) []Ping {
+	for name, m := range d.members {
+		switch {
+		case m.Status == Suspect && now.Sub(m.Changed) >= SuspectTimeout:
+			d.set(m, Dead, now)
+			d.spread(m)
+		case m.Status == Dead && !m.Listed && now.Sub(m.Changed) >= Forget:
+			d.remove(name)
+		}
+	}
+	var out []Ping
+	if m := d.next(func(m *Member) bool { return m.Reachable() || !m.tried }); m != nil {
+		m.tried = true
+		out = append(out, Ping{m.Name, m.Address})
+	}
+	if now.Sub(d.lastRetry) >= RetryDead || d.lastRetry == 0 {
+		d.lastRetry = now
+		if m := d.next(func(m *Member) bool { return !m.Reachable() }); m != nil {
+			out = append(out, Ping{m.Name, m.Address})
+		}
+	}
+	return out
+}
+
+// next takes the first member in the round robin that matches and moves it to
+// a random place in the last half, so that the order is shuffled but no member
+// waits longer than one and a half rounds.
+func (d *Detector) next(match func(*Member) bool) *Member {
+	for i, name := range d.order {
+		if m := d.members[name]; match(m) {
+			d.order = slices.Delete(d.order, i, i+1)
+			half := len(d.order) / 2
+			at := half + d.rand.IntN(len(d.order)-half+1)
+			d.order = slices.Insert(d.order, at, name)
+			return m
+		}
+	}
+	return nil
+}
+
+// Helpers returns up to Indirect reachable members other than target.
+func (d *Detector) Helpers(target string) []Ping {
+	var all []string
+	for name, m := range d.members {
+		if name != target && m.Status <= Leaving {
+			all = append(all, name)
+		}
+	}
+	slices.Sort(all)
+	d.rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	var out []Ping
+	for _, name := range all[:min(Indirect, len(all))] {
+		out = append(out, Ping{name, d.members[name].Address})
+	}
+	return out
+}
+
+// Missed takes the failure of a heartbeat, direct and indirect.
+func (d *Detector) Missed(now clock.Time, name string) {
+	if m := d.members[name]; m != nil && m.Status <= Leaving {
+		d.set(m, Suspect, now)
+		d.spread(m)
+	}
+}
+
+// Heard takes a message or an answer that came from the member itself. A member
+// that is suspected or dead returns by refuting what Updates tells it.
+func (d *Detector) Heard(now clock.Time, from string, incarnation uint64) {
+	m := d.members[from]
+	if m == nil || incarnation == 0 {
+		return
+	}
+	switch {
+	case m.Status == Unknown, m.Incarnation != incarnation:
+		// The process was replaced. It raises its sequence number when it hears
+		// what was known of the earlier one.
+		m.renew = m.Sequence > 0
+		m.Incarnation = incarnation
+		d.set(m, Alive, now)
+		d.changed = true
+	}
+}
+
+func (d *Detector) set(m *Member, s Status, now clock.Time) {
+	if m.Status != s {
+		m.Status, m.Changed, d.changed = s, now, true
+	}
+	m.Member.Status = uint8(s)
+}
+
+func (d *Detector) spread(m *Member) {
+	w := m.Member
+	d.queue.push(wire.Update{Origin: d.self.Name, Incarnation: d.self.Incarnation, Sequence: w.Sequence, Member: &w})
+}
+
+// Publish spreads news of another kind than Member from this host.
+func (d *Detector) Publish(u wire.Update) {
+	d.sequence++
+	u.Origin, u.Incarnation, u.Sequence = d.self.Name, d.self.Incarnation, d.sequence
+	d.queue.fresh(&u)
+	d.queue.push(u)
+}
+
+// Receive takes the news of one message and returns the updates of other kinds
+// than Member that are new here.
+func (d *Detector) Receive(now clock.Time, updates []wire.Update) []wire.Update {
+	var out []wire.Update
+	for _, u := range updates[:min(len(updates), MaxReceive)] {
+		switch {
+		case len(u.Origin) > maxName:
+		case u.Member != nil:
+			d.receiveMember(now, u)
+		case u.Origin != d.self.Name && d.queue.fresh(&u):
+			d.queue.push(u)
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+func (d *Detector) receiveMember(now clock.Time, u wire.Update) {
+	w := *u.Member
+	if w.Name == "" || len(w.Name) > maxName || len(w.Address) > maxName || len(w.DataCentre) > maxName || w.Status > uint8(Dead) {
+		return
+	}
+	if w.Name == d.self.Name {
+		d.refute(w)
+		return
+	}
+	m := d.members[w.Name]
+	if m == nil {
+		if Status(w.Status) == Dead {
+			return
+		}
+		if m = d.add(w, Status(w.Status), now); m != nil {
+			d.queue.push(u)
+		}
+		return
+	}
+	if !newer(w, m) {
+		return
+	}
+	if m.Address != w.Address || m.Incarnation != w.Incarnation {
+		d.changed = true
+	}
+	m.Member, m.renew = w, false
+	d.set(m, Status(w.Status), now)
+	d.queue.push(u)
+}
+
+// newer orders news of one member by sequence number, then status, then
+// incarnation. Incarnations are random, so the last comparison only makes all
+// hosts agree until the member itself raises its sequence number.
+func newer(w wire.Member, m *Member) bool {
+	switch {
+	case m.Status == Unknown:
+		return Status(w.Status) != Dead
+	case w.Sequence != m.Sequence:
+		return w.Sequence > m.Sequence
+	case w.Incarnation != m.Incarnation:
+		return w.Incarnation > m.Incarnation
+	}
+	return w.Status > uint8(m.Status)
+}
+
+// refute answers news of this host that is wrong or that names an earlier
+// process of the same name.
+func (d *Detector) refute(w wire.Member) {
+	want := Alive
+	if d.leaving {
+		want = Leaving
+	}
+	right := w.Incarnation == d.self.Incarnation && Status(w.Status) == want && w.Address == d.self.Address
+	if w.Sequence < d.self.Sequence || right && w.Sequence == d.self.Sequence {
+		return
+	}
+	d.self.Sequence = w.Sequence + 1
+	d.announce()
+}
+
+// Updates returns the news for one message to the named member. What this host
+// believes of the receiver goes first when the receiver may have to refute it.
+func (d *Detector) Updates(receiver string) []wire.Update {
+	m := d.members[receiver]
+	n := MaxUpdates
+	var out []wire.Update
+	if m != nil && (m.Status == Suspect || m.Status == Dead || m.renew) {
+		w := m.Member
+		out = append(out, wire.Update{Origin: d.self.Name, Incarnation: d.self.Incarnation, Sequence: w.Sequence, Member: &w})
+		n--
+	}
+	return append(out, d.queue.take(n, len(d.members)+1, receiver)...)
+}
+
+// Join returns the records of up to MaxReceive reachable members, this host
+// first, for a process that has just started.
+func (d *Detector) Join() []wire.Update {
+	out := []wire.Update{d.SelfUpdate()}
+	for _, name := range d.order { // shuffled
+		if m := d.members[name]; m.Reachable() && m.Sequence > 0 && len(out) < MaxReceive {
+			w := m.Member
+			out = append(out, wire.Update{Origin: d.self.Name, Incarnation: d.self.Incarnation, Sequence: w.Sequence, Member: &w})
+		}
+	}
+	return out
+}
+
+// SelfUpdate returns the own record, for a receiver that does not know it.
+func (d *Detector) SelfUpdate() wire.Update {
+	m := d.self
+	if d.leaving {
+		m.Status = uint8(Leaving)
+	}
+	return wire.Update{Origin: m.Name, Incarnation: m.Incarnation, Sequence: m.Sequence, Member: &m}
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,216 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Bounds of a client connection. They keep a call to a peer that stopped
+// reading or never answers the handshake from blocking its caller.
+const (
+	dialTimeout  = 500 * time.Millisecond
+	writeTimeout = 2 * time.Second
+)
+
+// Dial opens a connection to a peer address (IP:port).
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// NewDial returns a Dial over TLS with the configuration of LoadTLS, or over
+// plain TCP if config is nil.
+func NewDial(config *tls.Config) Dial {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if config == nil {
+		return func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	t := &tls.Dialer{NetDialer: d, Config: config}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return t.DialContext(ctx, "tcp", address)
+	}
+}
+
+// Client is a Caller with one connection per peer and class.
+type Client struct {
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+	conns   atomic.Pointer[connTable]
+	mu      sync.Mutex // serialises changes of conns; calls only load the table
+	closed  bool       // guarded by mu
+	bytes   *Bytes
+	traffic *Traffic
+}
+
+type connKey struct {
+	address string
+	class   Class
+}
+
+// clientConn is one connection with its count of received bytes.
+type clientConn struct {
+	*rpc.Client
+	conn *countedConn
+}
+
+type connTable map[connKey]*clientConn
+
+// Bytes counts the bytes sent and received by class.
+type Bytes struct {
+	Sent, Received [numClasses]atomic.Int64
+}
+
+// NewClient returns a client that dials with dial, or over plain TCP if nil.
+func NewClient(dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
+	if dial == nil {
+		dial = NewDial(nil)
+	}
+	c := &Client{dial: dial, bytes: &Bytes{}, traffic: &Traffic{}}
+	c.conns.Store(&connTable{})
+	return c
+}
+
+// Bytes returns the traffic counters by class.
+func (c *Client) Bytes() *Bytes { return c.bytes }
+
+// Traffic returns the traffic counters by method.
+func (c *Client) Traffic() *Traffic { return c.traffic }
+
+// Call implements Caller. The context must carry a deadline. An overdue call
+// closes the connection when nothing was received on it during the call, so
+// that other calls on it end with ErrUnconfirmed; a connection that still
+// delivers other answers is kept. A call on a connection that the peer closed
+// while idle is sent once more on a new one, since none of it left.
+func (c *Client) Call(ctx context.Context, class Class, address, method string, args, reply any) error {
+	key := connKey{address, class}
+	for attempt := 0; ; attempt++ {
+		cl, err := c.client(ctx, key)
+		if err != nil {
+			return errors.Wrap(ErrNotSent, err.Error())
+		}
+		err = c.callOn(ctx, cl, key, method, args, reply)
+		if attempt > 0 || !errors.Is(err, rpc.ErrShutdown) {
+			return result(err)
+		}
+	}
+}
+
+func (c *Client) callOn(ctx context.Context, cl *clientConn, key connKey, method string, args, reply any) error {
+	before := cl.conn.received.Load()
+	call := cl.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if _, remote := errors.Into[rpc.ServerError](call.Error); call.Error != nil && !remote {
+			c.drop(key, cl)
+		}
+		return call.Error
+	case <-ctx.Done():
+		if ctx.Err() == context.DeadlineExceeded && cl.conn.received.Load() == before {
+			c.drop(key, cl)
+		}
+		return ctx.Err()
+	}
+}
+
+// result maps an error of net/rpc to the errors of this package. ErrShutdown
+// means that the connection was closed before the call was written.
+func result(err error) error {
+	if err == nil {
+		return nil
+	}
+	if remote, ok := errors.Into[rpc.ServerError](err); ok {
+		return &RemoteError{Message: string(remote)}
+	}
+	if errors.Is(err, rpc.ErrShutdown) {
+		return ErrNotSent
+	}
+	return errors.Wrap(ErrUnconfirmed, err.Error())
+}
+
+func (c *Client) client(ctx context.Context, key connKey) (*clientConn, error) {
+	if cl := (*c.conns.Load())[key]; cl != nil {
+		return cl, nil
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(dialCtx, key.address)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countedConn{Conn: conn, class: key.class, bytes: c.bytes}
+	codec := &clientCodec{stream: newStream(counted, defaultMaxMessage, c.traffic)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	other := (*c.conns.Load())[key]
+	if c.closed || other != nil {
+		_ = conn.Close()
+		if other != nil {
+			return other, nil
+		}
+		return nil, errors.New("client is closed")
+	}
+	cl := &clientConn{Client: rpc.NewClientWithCodec(codec), conn: counted}
+	c.edit(func(t connTable) { t[key] = cl })
+	return cl, nil
+}
+
+func (c *Client) drop(key connKey, cl *clientConn) {
+	c.mu.Lock()
+	if (*c.conns.Load())[key] == cl {
+		c.edit(func(t connTable) { delete(t, key) })
+	}
+	c.mu.Unlock()
+	_ = cl.Close()
+}
+
+func (c *Client) edit(change func(connTable)) {
+	old := *c.conns.Load()
+	next := make(connTable, len(old)+1)
+	for k, v := range old {
+		next[k] = v
+	}
+	change(next)
+	c.conns.Store(&next)
+}
+
+// Close closes all connections. Later calls end with ErrNotSent.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, cl := range *c.conns.Load() {
+		_ = cl.Close()
+	}
+	c.conns.Store(&connTable{})
+}
+
+type countedConn struct {
+	net.Conn
+	class    Class
+	bytes    *Bytes
+	received atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	c.bytes.Received[c.class].Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn. It is bounded in time, since rpc.Client sends
+// under a lock and without a deadline.
+func (c *countedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.bytes.Sent[c.class].Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,188 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"io"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+)
+
+// Kind counts the messages of one method. Bytes are those of the gob stream,
+// without TLS and TCP.
+type Kind struct {
+	Messages, Sent, Received atomic.Int64
+}
+
+// Bounds of the traffic table, since method names come from the network.
+const (
+	maxKinds      = 64
+	maxKindLength = 64
+	otherKind     = "other"
+)
+
+// Traffic counts messages and bytes by method.
+type Traffic struct {
+	kinds sync.Map // string to *Kind
+	count atomic.Int64
+}
+
+// Kind returns the counters of a method.
+func (t *Traffic) Kind(method string) *Kind {
+	if k, ok := t.kinds.Load(method); ok {
+		return k.(*Kind)
+	}
+	if len(method) > maxKindLength || t.count.Load() >= maxKinds {
+		method = otherKind
+	}
+	k, loaded := t.kinds.LoadOrStore(method, &Kind{})
+	if !loaded {
+		t.count.Add(1)
+	}
+	return k.(*Kind)
+}
+
+// Each calls f for each method seen so far.
+func (t *Traffic) Each(f func(method string, k *Kind)) {
+	t.kinds.Range(func(m, k any) bool {
+		f(m.(string), k.(*Kind))
+		return true
+	})
+}
+
+// Values returns messages and bytes by method, for expvar.Func.
+func (t *Traffic) Values() any {
+	out := map[string]map[string]int64{}
+	t.Each(func(method string, k *Kind) {
+		out[method] = map[string]int64{"messages": k.Messages.Load(), "sent_bytes": k.Sent.Load(), "received_bytes": k.Received.Load()}
+	})
+	return out
+}
+
+// stream is one end of a gob connection with exact counts.
+type stream struct {
+	conn    io.ReadWriteCloser
+	in      *frameReader
+	dec     *gob.Decoder
+	out     *bufio.Writer
+	enc     *gob.Encoder
+	written int64
+	traffic *Traffic
+}
+
+func newStream(conn io.ReadWriteCloser, maxMessage int, t *Traffic) *stream {
+	s := &stream{conn: conn, in: newFrameReader(conn, maxMessage), out: bufio.NewWriter(conn), traffic: t}
+	s.dec = gob.NewDecoder(s.in)
+	s.enc = gob.NewEncoder(s)
+	return s
+}
+
+// Write implements io.Writer for the encoder.
+func (s *stream) Write(p []byte) (int, error) {
+	s.written += int64(len(p))
+	return s.out.Write(p)
+}
+
+func (s *stream) send(method string, header, body any) error {
+	before := s.written
+	if err := s.enc.Encode(header); err != nil {
+		return err
+	}
+	if err := s.enc.Encode(body); err != nil {
+		return err
+	}
+	k := s.traffic.Kind(method)
+	k.Messages.Add(1)
+	k.Sent.Add(s.written - before)
+	return s.out.Flush()
+}
+
+type clientCodec struct {
+	*stream
+	start  int64
+	method string
+}
+
+// WriteRequest implements rpc.ClientCodec.
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	if err := c.send(r.ServiceMethod, r, body); err != nil {
+		// A half-written message would make the peer read garbage.
+		_ = c.conn.Close()
+		return err
+	}
+	return nil
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	c.start = c.in.read
+	err := c.dec.Decode(r)
+	c.method = r.ServiceMethod
+	return err
+}
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseBody(body any) error {
+	err := c.dec.Decode(body)
+	c.traffic.Kind(c.method).Received.Add(c.in.read - c.start)
+	return err
+}
+
+// Close implements rpc.ClientCodec.
+func (c *clientCodec) Close() error { return c.conn.Close() }
+
+// serverCodec bounds the calls in flight on one connection: it reads no
+// further request until one of them is answered.
+type serverCodec struct {
+	*stream
+	slots  chan struct{}
+	done   chan struct{}
+	once   sync.Once
+	start  int64
+	method string
+}
+
+func newServerCodec(conn io.ReadWriteCloser, maxMessage, maxCalls int, t *Traffic) *serverCodec {
+	return &serverCodec{
+		stream: newStream(conn, maxMessage, t),
+		slots:  make(chan struct{}, maxCalls), done: make(chan struct{}),
+	}
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	select {
+	case c.slots <- struct{}{}:
+	case <-c.done:
+		return io.EOF
+	}
+	c.start = c.in.read
+	err := c.dec.Decode(r)
+	c.method = r.ServiceMethod
+	return err
+}
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestBody(body any) error {
+	err := c.dec.Decode(body)
+	c.traffic.Kind(c.method).Received.Add(c.in.read - c.start)
+	return err
+}
+
+// WriteResponse implements rpc.ServerCodec. net/rpc calls it exactly once for
+// each request whose header was read.
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	err := c.send(r.ServiceMethod, r, body)
+	<-c.slots
+	if err != nil {
+		_ = c.Close()
+	}
+	return err
+}
+
+// Close implements rpc.ServerCodec.
+func (c *serverCodec) Close() error {
+	c.once.Do(func() { close(c.done) })
+	return c.conn.Close()
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,180 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// acceptPause is the wait after a failed Accept.
+const acceptPause = 50 * time.Millisecond
+
+// ServerConfig bounds what peers can make a server do. Zero fields take the
+// defaults.
+type ServerConfig struct {
+	TLS              *tls.Config   // nil: plain text
+	MaxConnections   int           // default 512: two classes of 256 peers
+	MaxMessage       int           // bytes of one gob message; default 4 MiB
+	MaxCalls         int           // calls in flight per connection; default 128
+	HandshakeTimeout time.Duration // default 2s
+	IdleTimeout      time.Duration // default 2m, above the ping interval of a pair in a fleet of 500
+	WriteTimeout     time.Duration // default 5s; a peer that reads slower is dropped
+}
+
+func (c *ServerConfig) setDefaults() {
+	setDefault(&c.MaxConnections, 512)
+	setDefault(&c.MaxMessage, defaultMaxMessage)
+	setDefault(&c.MaxCalls, 128)
+	setDefault(&c.HandshakeTimeout, 2*time.Second)
+	setDefault(&c.IdleTimeout, 2*time.Minute)
+	setDefault(&c.WriteTimeout, 5*time.Second)
+}
+
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+// Server accepts connections from peers.
+type Server struct {
+	config   ServerConfig
+	rpc      *rpc.Server
+	listener net.Listener
+	traffic  *Traffic
+	refused  atomic.Int64
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	closed   bool
+	stop     chan struct{} // closed by Close
+}
+
+// NewServer returns a plain-text server on the listener with default bounds.
+// Register comes before Serve.
+func NewServer(l net.Listener) *Server { return NewServerConfig(l, ServerConfig{}) }
+
+// NewServerConfig returns a server on the listener. Register comes before Serve.
+func NewServerConfig(l net.Listener, config ServerConfig) *Server {
+	config.setDefaults()
+	return &Server{
+		config: config, rpc: rpc.NewServer(), listener: l,
+		traffic: &Traffic{}, conns: map[net.Conn]struct{}{}, stop: make(chan struct{}),
+	}
+}
+
+// Traffic returns the traffic counters by method.
+func (s *Server) Traffic() *Traffic { return s.traffic }
+
+// Refused returns how many connections were closed for the connection limit or
+// a failed handshake.
+func (s *Server) Refused() int64 { return s.refused.Load() }
+
+// Register adds the methods of receiver under name, as net/rpc does.
+func (s *Server) Register(name string, receiver any) error {
+	return s.rpc.RegisterName(name, receiver)
+}
+
+// Serve accepts connections until Close and returns when all handlers have
+// returned.
+func (s *Server) Serve() {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			// Accept fails for a while when file descriptors run out.
+			select {
+			case <-s.stop:
+				return
+			case <-time.After(acceptPause):
+				continue
+			}
+		}
+		if !s.track(conn) {
+			s.refused.Add(1)
+			_ = conn.Close()
+			continue
+		}
+		wg.Go(func() {
+			defer s.untrack(conn)
+			s.serveConn(conn)
+		})
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	rw := conn
+	if s.config.TLS != nil {
+		t := tls.Server(conn, s.config.TLS)
+		ctx, cancel := context.WithTimeout(context.Background(), s.config.HandshakeTimeout)
+		err := t.HandshakeContext(ctx)
+		cancel()
+		if err != nil {
+			s.refused.Add(1)
+			return
+		}
+		rw = t
+	}
+	bounded := &boundedConn{Conn: rw, idle: s.config.IdleTimeout, write: s.config.WriteTimeout}
+	s.rpc.ServeCodec(newServerCodec(bounded, s.config.MaxMessage, s.config.MaxCalls, s.traffic))
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= s.config.MaxConnections {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close stops accepting and closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	if !s.closed {
+		s.closed = true
+		close(s.stop)
+	}
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	_ = s.listener.Close()
+}
+
+// boundedConn bounds the time between requests and the time of each write.
+type boundedConn struct {
+	net.Conn
+	idle, write time.Duration
+}
+
+// Read implements net.Conn.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn.
+func (c *boundedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.write)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -29,8 +29,14 @@
 	Status      uint8  // membership.Status
 }
 
-// Update is one piggybacked piece of news. Exactly one field is set.
+// Update is one piggybacked piece of news. Exactly one pointer is set. Origin,
+// Incarnation and Sequence identify the news, so that it is spread once and
+// older news does not replace newer; Member news is ordered by its own fields.
 type Update struct {
+	Origin      string // entry host that published it
+	Incarnation uint64 // of the origin
+	Sequence    uint64 // per origin and incarnation
+
 	Member    *Member
 	Suspect   *Suspect
 	Successor *Successor
@@ -73,6 +79,7 @@
 type PingRequest struct {
 	Header
 	Target  string // entry host meant, for indirect pings
+	Join    bool   // the sender has just started and asks for the members
 	Updates []Update
 }
 
@@ -84,7 +91,10 @@
 }
 
 // NoticeRequest tells of a newer manifest revision.
-type NoticeRequest struct{ Header }
+type NoticeRequest struct {
+	Header
+	Digest uint64 // first 8 bytes of the SHA-256 of the manifest in force, big-endian
+}
 
 // NoticeReply is empty.
 type NoticeReply struct{ Header }
@@ -101,6 +111,9 @@
 // PromiseRequest asks for or renews the promise of several pools.
 type PromiseRequest struct {
 	Header
+	// Sequence orders the lease messages of one candidate process, so that a
+	// late release does not undo a later promise.
+	Sequence   uint64
 	Pools      []manifest.PoolID
 	TermMillis int64
 }
@@ -115,7 +128,12 @@
 // LeaseReleaseRequest gives leases back on a planned stop.
 type LeaseReleaseRequest struct {
 	Header
-	Pools []PoolRelease
+	Sequence uint64 // see PromiseRequest
+	// Successor and SuccessorIncarnation name the candidate that adopted the
+	// in-flight counts. Voters reserve the pools for it for one term.
+	Successor            string
+	SuccessorIncarnation uint64
+	Pools                []PoolRelease
 }
 
 // PoolRelease is one released lease with what is still in flight.
