--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -76,7 +76,6 @@
 	members   map[string]*Member
 	order     []string // round robin of heartbeats to reachable members
 	lastRetry clock.Time
-	retry     int
 	queue     *queue
 	sequence  uint64 // of published updates
 	rand      *rand.Rand
