--- /dev/null
+++ b/internal/controller/pause/pause_test.go
@@ -0,0 +1,67 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/state"
+)
+
+// jump is a clock that can be set forward, as a paused process sees it.
+type jump struct {
+	clock.Monotonic
+	by *clock.Manual
+}
+
+func (j *jump) Now() clock.Time { return j.Monotonic.Now() + j.by.Now() }
+
+// TestPause guards against a process that acts on old state after a pause: from
+// the moment it runs again until the re-sync is over it is not fresh, and a
+// re-sync that hangs ends after its bound.
+func TestPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clk := &jump{*clock.NewMonotonic(), &clock.Manual{}}
+		store := state.NewStore(state.Member{Name: "eh1"})
+		calls, hang := 0, false
+		g := &Guard{Clock: clk, Store: store, Counters: metrics.New(), Log: zap.NewNop(), Resync: func(ctx context.Context) {
+			calls++
+			if hang {
+				<-ctx.Done()
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			g.Run(ctx)
+		}()
+		time.Sleep(5 * time.Second)
+		is.True(Fresh(store, clk.Now()))
+		is.Equal(calls, 0)
+		for _, hang = range []bool{false, true} {
+			calls = 0
+			clk.by.Advance(1500 * time.Millisecond)
+			is.True(!Fresh(store, clk.Now())) // before the guard runs
+			time.Sleep(250 * time.Millisecond)
+			is.True(!Fresh(store, clk.Now())) // during the re-sync
+			time.Sleep(ResyncBound)
+			is.True(Fresh(store, clk.Now()))
+			is.Equal(calls, 1)
+		}
+		clk.by.Advance(900 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
+		is.Equal(calls, 1) // a short gap is no pause
+		cancel()
+		<-done
+	})
+}
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -77,6 +77,13 @@
 	*peer.Client
 	network *Network
 	from    string
+	late    sync.WaitGroup // delayed requests
+}
+
+// Close closes the connections and waits for delayed requests.
+func (c *Caller) Close() {
+	c.Client.Close()
+	c.late.Wait()
 }
 
 // Call implements peer.Caller.
@@ -90,7 +97,7 @@
 		<-ctx.Done()
 		return peer.ErrUnconfirmed
 	case f.Delay > 0:
-		return c.late(ctx, f, class, address, method, args, reply)
+		return c.delay(ctx, f, class, address, method, args, reply)
 	case f.NoReply:
 		_ = c.Client.Call(ctx, class, address, method, args, reflect.New(reflect.TypeOf(reply).Elem()).Interface())
 		<-ctx.Done()
@@ -99,16 +106,16 @@
 	return c.Client.Call(ctx, class, address, method, args, reply)
 }
 
-// late delivers the request after the delay, whether or not the caller waits.
-func (c *Caller) late(ctx context.Context, f Fault, class peer.Class, address, method string, args, reply any) error {
+// delay delivers the request after the delay, whether or not the caller waits.
+func (c *Caller) delay(ctx context.Context, f Fault, class peer.Class, address, method string, args, reply any) error {
 	answer := reflect.New(reflect.TypeOf(reply).Elem())
 	done := make(chan error, 1)
-	go func() {
+	c.late.Go(func() {
 		time.Sleep(f.Delay)
 		callCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		done <- c.Client.Call(callCtx, class, address, method, args, answer.Interface())
-	}()
+	})
 	select {
 	case err := <-done:
 		reflect.ValueOf(reply).Elem().Set(answer.Elem())
--- /dev/null
+++ b/internal/fleettest/faults_test.go
@@ -0,0 +1,258 @@
+package fleettest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/fake"
+	"github.com/anvilfront/anvilfront/internal/platform"
+)
+
+// inForce reports whether every host has the revision in force.
+func (f *Fleet) inForce(revision uint64) bool {
+	for _, h := range f.Hosts {
+		if m := h.Store.Load().Manifest; m == nil || m.File.Revision != revision {
+			return false
+		}
+	}
+	return true
+}
+
+// TestLostAndLateMessages guards against two holders and dead hosts in a
+// network that loses, delays and half-delivers messages.
+func TestLostAndLateMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, is, 9, 3)
+		defer f.StopAll()
+		f.Network.SetRule(func(string, string, string) fake.Fault {
+			switch n := rand.IntN(100); {
+			case n < 10:
+				return fake.Fault{Drop: true}
+			case n < 20:
+				return fake.Fault{NoReply: true}
+			case n < 30:
+				return fake.Fault{Delay: time.Duration(rand.IntN(4000)) * time.Millisecond}
+			}
+			return fake.Fault{}
+		})
+		held := 0
+		for range 600 {
+			time.Sleep(50 * time.Millisecond)
+			for id, names := range f.Holders() {
+				held++
+				if len(names) > 1 {
+					t.Fatalf("pool %v has holders %v", id, names)
+				}
+			}
+		}
+		t.Logf("pools with a holder: %.1f of %d", float64(held)/600, len(f.Hosts[Name(0)].Store.Load().Manifest.Pools))
+		f.Network.SetRule(nil)
+		_, ok := f.Wait(20*time.Second, func() bool { return f.settled(1) })
+		is.True(ok)
+	})
+}
+
+// TestReplacedHost guards against a replaced host that is taken for the earlier
+// process, or whose pools stay without a holder.
+func TestReplacedHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, is, 9, 3)
+		defer f.StopAll()
+		old := f.Hosts[Name(4)]
+		before := old.Store.Load().Members.Self.Incarnation
+		old.Kill()
+		time.Sleep(500 * time.Millisecond)
+		h := f.Start(4, 3)
+		d, ok := f.Wait(10*time.Second, func() bool {
+			for _, other := range f.Hosts {
+				if other.Store.Load().Members.ByName[Name(4)].Incarnation == before {
+					return false
+				}
+			}
+			return f.settled(1)
+		})
+		is.True(ok)
+		is.True(h.Manifests.Ready())
+		t.Logf("settled after %v", d)
+	})
+}
+
+// TestDeadHost guards against pools of a failed host that stay without a holder.
+func TestDeadHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, is, 16, 4)
+		defer f.StopAll()
+		f.Hosts[Name(6)].Kill()
+		delete(f.Hosts, Name(6))
+		d, ok := f.Wait(8*time.Second, func() bool {
+			for _, h := range f.Hosts {
+				if h.Store.Load().Members.ByName[Name(6)].Alive {
+					return false
+				}
+			}
+			return f.settled(1)
+		})
+		is.True(ok)
+		t.Logf("dead everywhere and replaced as holder after %v", d)
+	})
+}
+
+// TestDifferingLists guards against more holders than disjoint majorities while
+// the platform's list lags on some hosts, and against lists that stay apart.
+func TestDifferingLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := New(5)
+		f.UseHosts = true
+		f.Seeds = []string{Address(0)}
+		f.Platform.Publish(1, Manifest(1, 0, 1, 8, 2))
+		var list []platform.Host
+		for i := range 6 {
+			list = append(list, platform.Host{Name: Name(i), Address: Address(i), DataCentre: Centre(0, 1), State: "live"})
+			f.Platform.SetHosts(list)
+			f.Start(i, 1)
+			for range 60 {
+				time.Sleep(50 * time.Millisecond)
+				for id, names := range f.Holders() {
+					// Lists grow by one host at a time: all their majorities
+					// overlap but for the first ones, of one and of two hosts.
+					if len(names) > 2 {
+						t.Fatalf("pool %v has holders %v", id, names)
+					}
+				}
+			}
+		}
+		defer f.StopAll()
+		_, ok := f.Wait(30*time.Second, func() bool {
+			for _, h := range f.Hosts {
+				if len(h.Store.Load().Members.Listed) != 6 {
+					return false
+				}
+			}
+			return f.settled(1)
+		})
+		is.True(ok) // the lists agree in the end
+	})
+}
+
+// TestAlone guards against a single entry host that makes its callers wait for
+// a vote of its own, and against one with configured peers that does not wait.
+func TestAlone(t *testing.T) {
+	for _, c := range []struct {
+		seeds []string
+		after time.Duration
+	}{{nil, 100 * time.Millisecond}, {[]string{Address(1)}, 2 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := New(1)
+			f.Seeds = c.seeds
+			f.Platform.Publish(1, Manifest(1, 1, 1, 4, 1))
+			f.Start(0, 1)
+			defer f.StopAll()
+			d, ok := f.Wait(5*time.Second, func() bool { return len(f.Holders()) == 1 })
+			is.True(ok)
+			t.Logf("seeds %v: held after %v", c.seeds, d)
+			is.True(d >= c.after-100*time.Millisecond && d <= c.after+100*time.Millisecond)
+		})
+	}
+}
+
+// TestPlatformFaults guards against an older manifest, other bytes of the same
+// revision or a refused manifest that comes into force, and against a broken
+// platform that is asked in a loop.
+func TestPlatformFaults(t *testing.T) {
+	changed := append(Manifest(7, 8, 4, 40, 4), "# other bytes\n"...)
+	for _, c := range []struct {
+		name    string
+		fault   func(p *fake.Platform)
+		counter string
+	}{
+		{"older revision", func(p *fake.Platform) { p.SetStale(Manifest(3, 8, 4, 40, 4)) }, "manifests_outdated"},
+		{"same revision, other bytes", func(p *fake.Platform) { p.SetStale(changed) }, "manifests_conflicts"},
+		{"refused manifest", func(p *fake.Platform) { p.Publish(8, []byte("revision = 8\nunknown = 1\n")) }, "manifests_refused"},
+		{"hostile bytes", func(p *fake.Platform) { p.SetStale([]byte{0, 1, 2}) }, "manifests_refused"},
+		{"down", func(p *fake.Platform) { p.SetDown(true) }, "platform_failures"},
+		{"slow", func(p *fake.Platform) { p.SetSlow(time.Minute) }, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := startFleet(t, is, 8, 4)
+				defer f.StopAll()
+				f.Platform.Publish(7, Manifest(7, 8, 4, 40, 4))
+				_, ok := f.Wait(3*time.Second, func() bool { return f.inForce(7) })
+				is.True(ok)
+				calls := f.Platform.Calls()
+				c.fault(f.Platform)
+				time.Sleep(time.Minute)
+				is.True(f.inForce(7)) // never reverted
+				raised := int64(0)
+				for _, h := range f.Hosts {
+					if c.counter != "" {
+						raised += h.Counters.Int(c.counter).Value()
+					}
+				}
+				is.True(c.counter == "" || raised > 0)
+				rate := float64(f.Platform.Calls()-calls) / 60
+				t.Logf("%.1f calls a second by 8 hosts", rate)
+				is.True(rate < 8)
+				f.Platform.SetStale(nil)
+				f.Platform.SetDown(false)
+				f.Platform.SetSlow(0)
+				f.Platform.Publish(9, Manifest(9, 8, 4, 40, 4))
+				d, ok := f.Wait(20*time.Second, func() bool { return f.inForce(9) })
+				is.True(ok) // the platform is followed again
+				t.Logf("followed again after %v", d)
+			})
+		})
+	}
+}
+
+// TestRestartWithoutPlatform guards against a restarted host that serves with
+// an older manifest than its peers while the platform is down.
+func TestRestartWithoutPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, is, 8, 4)
+		defer f.StopAll()
+		f.Platform.SetDown(true)
+		f.Hosts[Name(2)].Kill()
+		f.Hosts[Name(5)].Manifests.Offer(Manifest(2, 8, 4, 40, 4))
+		h := f.Start(2, 4)
+		for !h.Manifests.Ready() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(h.Store.Load().Manifest.File.Revision, uint64(2))
+	})
+}
+
+// TestPlatformLoad guards against reads of the platform that grow towards its
+// limit of 2,000 calls a second.
+func TestPlatformLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, is, 32, 4)
+		defer f.StopAll()
+		calls := f.Platform.Calls()
+		for i := range 10 {
+			time.Sleep(6 * time.Second)
+			revision := i + 2
+			f.Platform.Publish(uint64(revision), Manifest(revision, 32, 4, 40, 4))
+			d, ok := f.Wait(3*time.Second, func() bool { return f.inForce(uint64(revision)) })
+			is.True(ok)
+			t.Logf("revision %d in force after %v", revision, d)
+		}
+		load := fmt.Sprintf("%.1f calls a second, %d watches", float64(f.Platform.Calls()-calls)/60, f.Platform.Waiting())
+		t.Log(load)
+		is.True(f.Platform.Waiting() <= 8)
+		is.True(f.Platform.Calls()-calls < 60*10)
+	})
+}
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -70,6 +70,7 @@
 		f := startFleet(t, is, 16, 4)
 		defer f.StopAll()
 		f.Platform.SetDown(true)
+		f.Network.SetRule(func(string, string, string) fake.Fault { return fake.Fault{Delay: 10 * time.Millisecond} })
 		time.Sleep(10 * time.Second)
 		is.True(f.Hosts[Name(3)].Manifests.Offer(Manifest(2, 16, 4, 40, 4)))
 		d, ok := f.Wait(3*time.Second, func() bool { return f.settled(2) })
