Decide on being alone from the lists that were read

Cause: whether nobody else is listed was decided before any list was read, so a host without configured peers could take leases within a term of an earlier process while others were listed.

--- a/internal/controller/leases/leases.go
+++ b/internal/controller/leases/leases.go
@@ -46,9 +46,9 @@
 	Counters *metrics.Counters
 	Log      *zap.Logger
 	Rand     *rand.Rand // not shared with others
-	// Alone is true when no peers are configured to start from. Then a host with
-	// nobody else listed takes its leases at once.
-	Alone bool
+	// Alone reports whether this host is certain to be the only one. Then it takes
+	// its leases without the one-term wait. nil: it always waits.
+	Alone func() bool
 }
 
 // Controller is the owner of state.Leases.
@@ -84,9 +84,6 @@
 		acquired: c.Counters.Int("leases_acquired"), lost: c.Counters.Int("leases_lost"),
 		refused: c.Counters.Int("leases_refused"), messages: c.Counters.Int("leases_messages"),
 	}
-	if c.Alone && lease.Alone(c.Store.Load().Members) {
-		ctl.voter, ctl.start = lease.NewVoter(now, false), now.Add(-lease.Term)
-	}
 	c.Gossip.Handle(ctl.hear)
 	return ctl
 }
@@ -147,11 +144,15 @@
 	}
 }
 
-// refresh publishes holders after a change of the members.
+// refresh publishes holders after a change of the members, and starts a round
+// when that made it certain that this host is alone.
 func (c *Controller) refresh() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.publish()
+	if c.Clock.Now().Sub(c.start) < lease.Term && c.Alone != nil && c.Alone() {
+		c.Kick()
+	}
 }
 
 // round sends one batch of requests to each voter.
@@ -163,6 +164,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
+	if now.Sub(c.start) < lease.Term && c.Alone != nil && c.Alone() {
+		c.voter, c.start = lease.NewVoter(now, false), now.Add(-lease.Term)
+	}
 	c.expire(now, snap.Manifest)
 	clear(c.look(snap).few)
 	bids := c.bids(now, snap)
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -54,6 +54,7 @@
 	detector   *membership.Detector
 	manifest   *manifest.Manifest
 	platform   []membership.Candidate
+	listRead   bool // the platform's list was read at least once
 	successors []wire.Successor
 	joins      int
 	seedAt     int
--- a/internal/controller/members/publish.go
+++ b/internal/controller/members/publish.go
@@ -24,7 +24,7 @@
 			c.Log.Debug("Host list not read.", zap.Error(err))
 		} else {
 			c.mu.Lock()
-			c.platform = list
+			c.platform, c.listRead = list, true
 			c.merge()
 			c.mu.Unlock()
 		}
@@ -131,3 +131,13 @@
 	slices.Sort(names)
 	return names
 }
+
+// Alone reports whether this host is certain to be the only entry host: no
+// peer is configured, and the manifest in force and the platform's list, both
+// read, name nobody else. It is false while one of them is missing.
+func (c *Controller) Alone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.Seeds) == 0 && (c.Hosts == nil || c.listRead) &&
+		c.manifest != nil && c.manifest == c.Store.Load().Manifest && len(c.detector.Members()) == 0
+}
--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -144,23 +144,33 @@
 }
 
 // TestAlone guards against a single entry host that makes its callers wait for
-// a vote of its own, and against one with configured peers that does not wait.
+// a vote of its own, and against one that does not wait although another host
+// is configured or listed, or although the lists could not be read.
 func TestAlone(t *testing.T) {
 	for _, c := range []struct {
-		seeds []string
-		after time.Duration
-	}{{nil, 100 * time.Millisecond}, {[]string{Address(1)}, 2 * time.Second}} {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			f := New(1)
-			f.Seeds = c.seeds
-			f.Platform.Publish(1, Manifest(1, 1, 1, 4, 1))
-			f.Start(0, 1)
-			defer f.StopAll()
-			d, ok := f.Wait(5*time.Second, func() bool { return len(f.Holders()) == 1 })
-			is.True(ok)
-			t.Logf("seeds %v: held after %v", c.seeds, d)
-			is.True(d >= c.after-100*time.Millisecond && d <= c.after+100*time.Millisecond)
+		name   string
+		set    func(f *Fleet)
+		listed int
+		after  time.Duration
+	}{
+		{"alone", func(*Fleet) {}, 1, 0},
+		{"alone with a host list", func(f *Fleet) { f.UseHosts = true }, 1, 0},
+		{"configured peer", func(f *Fleet) { f.Seeds = []string{Address(1)} }, 1, 2 * time.Second},
+		{"listed peer that is down", func(*Fleet) {}, 2, 2 * time.Second},
+		{"host list not read", func(f *Fleet) { f.UseHosts = true; f.Platform.SetDown(true) }, 1, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := New(1)
+				c.set(f)
+				h := f.Start(0, c.listed) // two data centres if two hosts are listed
+				defer f.StopAll()
+				h.Manifests.Offer(Manifest(1, c.listed, c.listed, 4, 1))
+				d, _ := f.Wait(4*time.Second, func() bool { return len(f.Holders()) > 0 })
+				t.Logf("held after %v", d)
+				is.True(d >= c.after && d <= c.after+100*time.Millisecond)
+			})
 		})
 	}
 }
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -97,7 +97,8 @@
 		for _, names := range f.Holders() {
 			stopping = f.Hosts[names[0]]
 		}
-		held := len(stopping.Store.Load().Leases.Held)
+		old := stopping.Store.Load().Leases.Held // as a request in flight sees it
+		held := len(old)
 		is.True(held > 0)
 		delete(f.Hosts, stopping.Name)
 		stopping.Stop(context.Background())
@@ -106,6 +107,9 @@
 			adopted += len(h.Handover.Adopted)
 		}
 		is.Equal(adopted, held)
+		for _, l := range old {
+			is.True(!l.Valid(f.Clock.Now())) // also for requests with an older snapshot
+		}
 		d, ok := f.Wait(time.Second, func() bool { return f.settled(1) })
 		is.True(ok) // new holders well before a term ends
 		t.Logf("handed over %d pools after %v", held, d)
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -82,6 +83,7 @@
 
 // Handover records what the leases controller hands over.
 type Handover struct {
+	mu       sync.Mutex
 	Inflight map[manifest.PoolID][]wire.ServerInflight
 	Adopted  []wire.PoolRelease
 }
@@ -160,7 +162,7 @@
 	h.Members.OnRevision(h.Manifests.Heard)
 	h.Leases = leases.New(leases.Config{
 		Clock: f.Clock, Store: h.Store, Caller: h.Caller, Gossip: h.Members, Header: h.Members.Header,
-		Handover: h.Handover, Counters: h.Counters, Log: log, Rand: f.newRand(), Alone: len(f.Seeds) == 0,
+		Handover: h.Handover, Counters: h.Counters, Log: log, Rand: f.newRand(), Alone: h.Members.Alone,
 	})
 	for _, register := range []func(*peer.Server) error{h.Members.Register, h.Manifests.Register, h.Leases.Register} {
 		if err := register(h.Server); err != nil {
@@ -240,7 +242,11 @@
 }
 
 // Adopt implements lease.Handover.
-func (h *Handover) Adopt(releases []wire.PoolRelease) { h.Adopted = append(h.Adopted, releases...) }
+func (h *Handover) Adopt(releases []wire.PoolRelease) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Adopted = append(h.Adopted, releases...)
+}
 
 // Holders returns which hosts hold a valid lease, by pool.
 func (f *Fleet) Holders() map[manifest.PoolID][]string {
--- a/internal/lease/electorate.go
+++ b/internal/lease/electorate.go
@@ -72,8 +72,3 @@
 	}
 	return 2
 }
-
-// Alone reports whether no other entry host is known or listed.
-func Alone(m *state.Members) bool {
-	return len(m.ByName) <= 1 && (len(m.Listed) == 0 || len(m.Listed) == 1 && m.Listed[0] == m.Self.Name)
-}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -40,6 +40,7 @@
 	Indirect   = 2    // hosts asked to ping on behalf of this one
 	MaxUpdates = 8    // updates per message sent
 	MaxReceive = 64   // updates taken from one message
+	maxJoin    = 48   // members told to a new process; with other news below MaxReceive
 	MaxMembers = 1024 // members known
 	maxName    = 128  // bytes of a name, address or data centre
 )
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -107,12 +107,12 @@
 	return append(out, d.queue.take(n, len(d.members)+1, receiver)...)
 }
 
-// Join returns the records of up to MaxReceive reachable members, this host
+// Join returns the records of up to maxJoin reachable members, this host
 // first, for a process that has just started.
 func (d *Detector) Join() []wire.Update {
 	out := []wire.Update{d.SelfUpdate()}
 	for _, name := range d.order { // shuffled
-		if m := d.members[name]; m.Reachable() && m.Sequence > 0 && len(out) < MaxReceive {
+		if m := d.members[name]; m.Reachable() && m.Sequence > 0 && len(out) < maxJoin {
 			w := m.Member
 			out = append(out, wire.Update{Origin: d.self.Name, Incarnation: d.self.Incarnation, Sequence: w.Sequence, Member: &w})
 		}
