--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -235,6 +235,10 @@
 		defer f.StopAll()
 		f.Platform.SetDown(true)
 		f.Hosts[Name(2)].Kill()
+		// Only host 5 has the newest revision.
+		f.Network.SetRule(func(from, _, method string) fake.Fault {
+			return fake.Fault{Drop: method == "Manifest.Fetch" && from != Address(2)}
+		})
 		f.Hosts[Name(5)].Manifests.Offer(Manifest(2, 8, 4, 40, 4))
 		h := f.Start(2, 4)
 		for !h.Manifests.Ready() {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -76,6 +76,7 @@
 	leaving   bool
 	members   map[string]*Member
 	order     []string // round robin of heartbeats to reachable members
+	lastTick  clock.Time
 	lastRetry clock.Time
 	queue     *queue
 	sequence  uint64 // of published updates
@@ -186,8 +187,12 @@
 // to send: one to a reachable member and, once per RetryDead, one to a member
 // that is not.
 func (d *Detector) Tick(now clock.Time) []Ping {
+	paused := now.Sub(d.lastTick) >= SuspectTimeout
+	d.lastTick = now
 	for name, m := range d.members {
 		switch {
+		case m.Status == Suspect && paused:
+			m.Changed = now // this host may have missed the refutation
 		case m.Status == Suspect && now.Sub(m.Changed) >= SuspectTimeout:
 			d.set(m, Dead, now)
 			d.spread(m)
