Check manifests and settings completely

Cause: a manifest with a bad name, address, range, reference or unreachable route was accepted, and only the first mistake was named, without a line. TestCoveredRoute fails when the comparison of exact paths is taken out.

--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	"github.com/anvilfront/anvilfront/internal/tomlfile"
 )
 
 // MaxBytes is the largest manifest in bytes, the value limit of the platform.
@@ -14,6 +16,9 @@
 // of one service in one data centre are split into shards.
 const MaxShard = 16
 
+// Problem is one mistake or warning with its line and key.
+type Problem = tomlfile.Problem
+
 // Duration is a time.Duration written in TOML as a Go duration string ("250ms").
 type Duration time.Duration
 
@@ -82,7 +87,7 @@
 type Route struct {
 	Name         string   `toml:"name"`
 	Source       string   `toml:"source"`      // file:line in the setup that was replaced
-	Host         string   `toml:"host"`        // exact host; empty matches any
+	Host         string   `toml:"host"`        // exact host in lower case, with the port if callers send one; empty matches any
 	Path         string   `toml:"path"`        // exact path; empty matches any
 	PathPrefix   string   `toml:"path_prefix"` // path prefix at a segment boundary; empty matches any
 	Methods      []string `toml:"methods"`     // empty matches any
@@ -136,44 +141,5 @@
 	Pools    map[PoolID]*Pool
 	ByName   map[string][]*Pool // pools of a service, in manifest order
 	Centres  map[string]*DataCentre
-}
-
-// Match returns the first route that matches, or nil.
-func (m *Manifest) Match(method, host, path string) *Route {
-	for i := range m.File.Routes {
-		if r := &m.File.Routes[i]; r.Matches(method, host, path) {
-			return r
-		}
-	}
-	return nil
-}
-
-// Matches reports whether the route matches a request.
-func (r *Route) Matches(method, host, path string) bool {
-	if r.Host != "" && r.Host != host {
-		return false
-	}
-	if r.Path != "" && r.Path != path {
-		return false
-	}
-	if r.PathPrefix != "" && !hasSegmentPrefix(path, r.PathPrefix) {
-		return false
-	}
-	return len(r.Methods) == 0 || contains(r.Methods, method)
-}
-
-func hasSegmentPrefix(path, prefix string) bool {
-	if len(path) < len(prefix) || path[:len(prefix)] != prefix {
-		return false
-	}
-	return len(path) == len(prefix) || prefix[len(prefix)-1] == '/' || path[len(prefix)] == '/'
-}
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
+	Warnings []Problem // what is probably not meant, but harmless; in the order of lines
 }
--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -1,30 +1,35 @@
 package manifest
 
 import (
-	"bytes"
-	"crypto/sha256"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/pelletier/go-toml/v2"
+
+	"github.com/anvilfront/anvilfront/internal/tomlfile"
 )
 
 // Parse decodes, checks and compiles a manifest. Unknown keys are errors. The
-// result depends on raw alone.
+// result depends on raw alone. Mistakes come as a *tomlfile.Error with their
+// lines and keys.
 func Parse(raw []byte) (*Manifest, error) {
 	if len(raw) > MaxBytes {
 		return nil, errors.Errorf("manifest has %d bytes, the limit is %d", len(raw), MaxBytes)
 	}
 	f := &File{}
-	dec := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
-	if err := dec.Decode(f); err != nil {
-		return nil, errors.Wrap(err, "decode manifest")
+	problems := &tomlfile.Problems{}
+	index, ok := tomlfile.Decode(raw, f, problems)
+	if !ok {
+		return nil, problems.Err()
 	}
 	setDefaults(f)
-	if err := check(f); err != nil {
-		return nil, errors.Wrap(err, "check manifest")
+	c := &checker{file: f, index: index, mistakes: problems, warnings: &tomlfile.Problems{}}
+	c.run()
+	if err := problems.Err(); err != nil {
+		return nil, err
 	}
-	return compile(f, raw), nil
+	m := compile(f, raw)
+	m.Warnings = c.warnings.Sorted()
+	return m, nil
 }
 
 func setDefaults(f *File) {
@@ -60,61 +65,3 @@
 		*p = v
 	}
 }
-
-func check(f *File) error {
-	if f.Revision == 0 {
-		return errors.New("revision must be 1 or more")
-	}
-	centres := map[string]bool{}
-	for _, c := range f.DataCentres {
-		centres[c.Name] = true
-	}
-	services := map[string]bool{}
-	for _, s := range f.Services {
-		services[s.Name] = true
-		for _, b := range s.BackendServers {
-			if !centres[b.DataCentre] {
-				return errors.Errorf("backend server %q: data centre %q does not exist", b.Name, b.DataCentre)
-			}
-		}
-	}
-	for _, r := range f.Routes {
-		if !services[r.Service] {
-			return errors.Errorf("route %q: service %q does not exist", r.Name, r.Service)
-		}
-	}
-	return nil
-}
-
-func compile(f *File, raw []byte) *Manifest {
-	m := &Manifest{
-		File: f, Raw: bytes.Clone(raw), Digest: sha256.Sum256(raw),
-		Services: map[string]*Service{}, Pools: map[PoolID]*Pool{},
-		ByName: map[string][]*Pool{}, Centres: map[string]*DataCentre{},
-	}
-	for i := range f.DataCentres {
-		m.Centres[f.DataCentres[i].Name] = &f.DataCentres[i]
-	}
-	for i := range f.Services {
-		s := &f.Services[i]
-		m.Services[s.Name] = s
-		m.addPools(s)
-	}
-	return m
-}
-
-func (m *Manifest) addPools(s *Service) {
-	count := map[string]int{}
-	for i := range s.BackendServers {
-		b := &s.BackendServers[i]
-		id := PoolID{Service: s.Name, DataCentre: b.DataCentre, Shard: count[b.DataCentre] / MaxShard}
-		count[b.DataCentre]++
-		p := m.Pools[id]
-		if p == nil {
-			p = &Pool{ID: id, Service: s, Out: m.Centres[b.DataCentre].Out}
-			m.Pools[id] = p
-			m.ByName[s.Name] = append(m.ByName[s.Name], p)
-		}
-		p.Servers = append(p.Servers, b)
-	}
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,13 +2,12 @@
 package settings
 
 import (
-	"bytes"
 	"os"
 
 	"github.com/go-faster/errors"
-	"github.com/pelletier/go-toml/v2"
 
 	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/tomlfile"
 )
 
 // Settings are the settings of one entry host.
@@ -42,7 +41,11 @@
 	Authorities string `toml:"authorities"` // certificates of the accepted issuers
 }
 
-// Load reads and checks a settings file. Unknown keys are errors.
+// MaxBytes is the largest settings file in bytes.
+const MaxBytes = 64 << 10
+
+// Load reads and checks a settings file. Unknown keys are errors. Mistakes come
+// with file, line and key, one per line.
 func Load(path string) (*Settings, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -50,20 +53,26 @@
 	}
 	s, err := Parse(raw)
 	if err != nil {
-		return nil, errors.Wrapf(err, "settings %s", path)
+		return nil, errors.New(tomlfile.Describe(path, err))
 	}
 	return s, nil
 }
 
-// Parse decodes and checks settings.
+// Parse decodes and checks settings. Mistakes come as a *tomlfile.Error with
+// their lines and keys. Certificate files are not read.
 func Parse(raw []byte) (*Settings, error) {
-	s := Default()
-	dec := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
-		return nil, err
+	if len(raw) > MaxBytes {
+		return nil, errors.Errorf("settings have %d bytes, the limit is %d", len(raw), MaxBytes)
 	}
-	if s.Name == "" {
-		return nil, errors.New("name is missing")
+	s, problems := Default(), &tomlfile.Problems{}
+	index, ok := tomlfile.Decode(raw, s, problems)
+	if !ok {
+		return nil, problems.Err()
+	}
+	c := &checker{s: s, index: index, problems: problems}
+	c.run()
+	if err := problems.Err(); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
--- /dev/null
+++ b/internal/settings/tls.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// LoadCertificate reads the certificate and key files of t. A certificate that
+// is not valid at now is an error.
+func (t TLS) LoadCertificate(now time.Time) (tls.Certificate, error) {
+	certPEM, err := os.ReadFile(t.Certificate)
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "read certificate")
+	}
+	keyPEM, err := os.ReadFile(t.Key)
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "read key")
+	}
+	cert, err := tls.X509KeyPair(certPEM, keyPEM)
+	if err != nil {
+		return tls.Certificate{}, errors.Wrapf(err, "certificate %s with key %s", t.Certificate, t.Key)
+	}
+	leaf, err := x509.ParseCertificate(cert.Certificate[0])
+	if err != nil {
+		return tls.Certificate{}, errors.Wrapf(err, "certificate %s", t.Certificate)
+	}
+	if now.Before(leaf.NotBefore) || now.After(leaf.NotAfter) {
+		return tls.Certificate{}, errors.Errorf("certificate %s is valid from %s to %s, now is %s", t.Certificate,
+			leaf.NotBefore.Format(time.RFC3339), leaf.NotAfter.Format(time.RFC3339), now.UTC().Format(time.RFC3339))
+	}
+	cert.Leaf = leaf
+	return cert, nil
+}
+
+// LoadAuthorities reads the certificates of the accepted issuers.
+func (t TLS) LoadAuthorities() (*x509.CertPool, error) {
+	raw, err := os.ReadFile(t.Authorities)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return nil, errors.Errorf("authorities %s: no certificate in PEM form", t.Authorities)
+	}
+	return pool, nil
+}
+
+// CallerConfig returns the configuration of the callers' listener, or nil when
+// caller_tls is empty. With authorities, callers must show a certificate of one
+// of these issuers. The listener speaks HTTP/1.1.
+func (s *Settings) CallerConfig(now time.Time) (*tls.Config, error) {
+	t := s.CallerTLS
+	if t == (TLS{}) {
+		return nil, nil
+	}
+	cert, err := t.LoadCertificate(now)
+	if err != nil {
+		return nil, errors.Wrap(err, "caller_tls")
+	}
+	c := &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		MinVersion:   tls.VersionTLS12,
+		NextProtos:   []string{"http/1.1"},
+	}
+	if t.Authorities != "" {
+		if c.ClientCAs, err = t.LoadAuthorities(); err != nil {
+			return nil, errors.Wrap(err, "caller_tls")
+		}
+		c.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return c, nil
+}
