Add operator listener, alerts, account and commands

Cause: operators had no view of a running entry host, alert rules of the manifest were not evaluated, and nothing showed that an old setup is carried over completely.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,71 +1,127 @@
-// Package cli holds the commands of the anvilfront binary.
+// Package cli holds the commands of the anvilfront binary. Commands parse
+// options and print; the work is done by other packages.
 package cli
 
 import (
-	"context"
+	"encoding/json"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
-	"go.uber.org/zap"
-
-	"github.com/anvilfront/anvilfront/internal/entryhost"
-	"github.com/anvilfront/anvilfront/internal/settings"
 )
 
-// Exit codes.
+// Exit codes. The help of the program lists them.
 const (
-	ExitOK    = 0 // the command did what it says
-	ExitError = 1 // the command failed
-	ExitUsage = 2 // the command line is wrong
+	ExitOK          = 0 // the command did what it says
+	ExitError       = 1 // the command failed
+	ExitUsage       = 2 // the command line is wrong
+	ExitMistakes    = 3 // check: a file has mistakes
+	ExitNotCarried  = 4 // check --account: a line is not carried or a source is wrong
+	ExitUnreachable = 5 // the operator listener did not answer
+	ExitFiring      = 6 // alerts: an alert is firing
+	ExitNoServer    = 7 // explain: no route matches or no backend server is eligible
+	ExitCut         = 8 // serve: a second signal ended the process at once
 )
 
-type serveCommand struct {
-	Settings string `long:"settings" short:"s" required:"true" description:"settings file (TOML)"`
+const help = `Exit codes:
+0 the command did what it says;
+1 the command failed;
+2 the command line is wrong;
+3 check: a file has mistakes;
+4 check --account: a line is not carried or a source is wrong;
+5 the operator listener did not answer;
+6 alerts: an alert is firing;
+7 explain: no route matches or no backend server is eligible;
+8 serve: a second signal ended the process at once.`
+
+// app is what commands share.
+type app struct {
+	stdout, stderr io.Writer
+}
+
+// exitError ends the program with a code. hint tells what to do and may be
+// empty; a nil err prints nothing.
+type exitError struct {
+	code int
+	err  error
+	hint string
 }
 
-// Execute implements flags.Commander.
-func (c *serveCommand) Execute([]string) error {
-	s, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
+// Error implements error.
+func (e *exitError) Error() string {
+	if e.err == nil {
+		return fmt.Sprintf("exit code %d", e.code)
 	}
-	log, err := zap.NewProduction()
-	if err != nil {
-		return errors.Wrap(err, "open log")
+	return e.err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+// newParser returns the parser with every command.
+func newParser(a *app) (*flags.Parser, error) {
+	p := flags.NewNamedParser("anvilfront", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = "A layer-7 load balancer. Commands that ask a running entry host talk to its operator listener.\n\n" + help
+	for _, c := range []struct {
+		name, short, long string
+		data              any
+	}{
+		{"serve", "Run an entry host", "Runs an entry host. SIGTERM or SIGINT starts the graceful stop, a second signal ends the process at once.", &serveCommand{app: a}},
+		{"check", "Check settings and manifests", "Checks a settings file, a manifest, or both, and prints every mistake with its line. With --account it also prints each line of an old configuration with the rules that carry it.", &checkCommand{app: a}},
+		{"status", "Show the state of an entry host", "Shows manifest, data centres, members, leases, pools, counters and alerts of a running entry host.", &statusCommand{app: a}},
+		{"explain", "Explain where a request goes", "Shows the route that a request matches, the eligible backend servers, and why each other one is not eligible.", &explainCommand{app: a}},
+		{"alerts", "Show the alert rules and their states", "Shows each alert rule with its state, value and source line. The exit code is 6 while an alert is firing.", &alertsCommand{app: a}},
+		{"version", "Show the version", "Shows the version of this program.", &versionCommand{app: a}},
+	} {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			return nil, errors.Wrapf(err, "command %s", c.name)
+		}
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	e, err := entryhost.New(s, log)
-	if err != nil {
-		return err
+	p.CommandHandler = func(command flags.Commander, args []string) error {
+		if len(args) > 0 {
+			return &exitError{ExitUsage, errors.Errorf("argument %q is not expected", args[0]), "run 'anvilfront --help' for the commands and options"}
+		}
+		return command.Execute(nil)
 	}
-	return e.Run(ctx)
+	return p, nil
 }
 
 // Main runs the command in args and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name = "anvilfront"
-	if _, err := parser.AddCommand("serve", "Run an entry host", "Runs an entry host until SIGTERM.", &serveCommand{}); err != nil {
-		fmt.Fprintln(stderr, err)
-		return ExitError
+	p, err := newParser(&app{stdout: stdout, stderr: stderr})
+	if err == nil {
+		_, err = p.ParseArgs(args)
 	}
-	_, err := parser.ParseArgs(args)
 	if err == nil {
 		return ExitOK
 	}
 	if e, ok := errors.Into[*flags.Error](err); ok {
 		if e.Type == flags.ErrHelp {
-			fmt.Fprintln(stdout, e.Message)
+			_, _ = fmt.Fprintln(stdout, e.Message)
 			return ExitOK
 		}
-		fmt.Fprintln(stderr, e.Message)
+		_, _ = fmt.Fprintf(stderr, "anvilfront: %s\nanvilfront: run 'anvilfront --help' for the commands and options\n", e.Message)
 		return ExitUsage
 	}
-	fmt.Fprintln(stderr, "anvilfront:", err)
-	return ExitError
+	code, hint := ExitError, ""
+	if e, ok := errors.Into[*exitError](err); ok {
+		code, hint = e.code, e.hint
+		if e.err == nil {
+			return code
+		}
+	}
+	_, _ = fmt.Fprintln(stderr, "anvilfront:", err)
+	if hint != "" {
+		_, _ = fmt.Fprintln(stderr, "anvilfront:", hint)
+	}
+	return code
+}
+
+// json prints v as indented JSON.
+func (a *app) json(v any) error {
+	e := json.NewEncoder(a.stdout)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(v)
 }
--- /dev/null
+++ b/internal/cli/print.go
@@ -0,0 +1,156 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/operator/status"
+)
+
+func printLine(w io.Writer, line string) error {
+	_, err := fmt.Fprintln(w, line)
+	return err
+}
+
+// section prints a title and rows of tab-separated cells.
+func section(b *strings.Builder, title string, header string, rows []string) {
+	fmt.Fprintf(b, "\n%s\n", title)
+	if len(rows) == 0 {
+		b.WriteString("  none\n")
+		return
+	}
+	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "  "+header)
+	for _, r := range rows {
+		_, _ = fmt.Fprintln(t, "  "+r)
+	}
+	_ = t.Flush() // a strings.Builder does not fail
+}
+
+func rows[T any](list []T, format func(*T) string) []string {
+	out := make([]string, len(list))
+	for i := range list {
+		out[i] = format(&list[i])
+	}
+	return out
+}
+
+func printStatus(w io.Writer, s *status.Status) error {
+	var b strings.Builder
+	ready := "ready"
+	if !s.Ready {
+		ready = "not ready: " + s.NotReady
+	}
+	fmt.Fprintf(&b, "Entry host %s in %s, incarnation %s, version %s\n", s.Name, s.DataCentre, s.Incarnation, s.Version)
+	fmt.Fprintf(&b, "Up %v, %s\n", time.Duration(s.UptimeSeconds*float64(time.Second)).Round(time.Second), ready)
+	fmt.Fprintf(&b, "Manifest revision %d, digest %s\n", s.Revision, s.Digest)
+	fmt.Fprintf(&b, "Process: %.1f MB resident, %d goroutines, %.1f s CPU\n", float64(s.Process.ResidentBytes)/(1<<20), s.Process.Goroutines, s.Process.CPUSeconds)
+	section(&b, "Data centres", "name\tregion\tstate", rows(s.DataCentres, func(d *status.DataCentre) string {
+		return d.Name + "\t" + d.Region + "\t" + inOrOut(d.Out)
+	}))
+	section(&b, "Members", "name\taddress\tdata centre\tincarnation\tstate", rows(s.Members, func(m *status.Member) string {
+		return strings.Join([]string{m.Name, m.Address, m.DataCentre, m.Incarnation, m.State}, "\t")
+	}))
+	section(&b, "Leases held", "pool\tleft", rows(s.Leases, func(l *status.Lease) string {
+		return fmt.Sprintf("%s\t%d ms", l.Pool, l.LeftMillis)
+	}))
+	section(&b, "Pools", "pool\tstate\tholder\tservers\tfree\tqueued\tslots\tage", rows(s.Pools, poolRow))
+	section(&b, "Answers by verdict", "verdict\tcount", counts(s.Verdicts))
+	section(&b, "Refusals by reason", "reason\tcount", counts(s.Refusals))
+	section(&b, "Retries by reason", "reason\tcount", counts(s.Retries))
+	fmt.Fprintf(&b, "\nRequests refused as suspects: %d fingerprints\n", s.Suspects)
+	section(&b, "Alerts firing", alertHeader, rows(s.Alerts, alertRow))
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func inOrOut(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in"
+}
+
+func poolRow(p *status.Pool) string {
+	head := fmt.Sprintf("%s\t%s\t%s\t%d", p.Pool, inOrOut(p.Out), orDash(p.Holder), p.Servers)
+	if !p.Known {
+		return head + "\t-\t-\t-\t-"
+	}
+	return fmt.Sprintf("%s\t%d\t%d\t%d\t%d ms", head, p.Free, p.Queued, p.Slots, p.AgeMillis)
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func counts(m map[string]int64) []string {
+	var list []string
+	for name, n := range m {
+		list = append(list, fmt.Sprintf("%s\t%d", name, n))
+	}
+	sort.Strings(list)
+	return list
+}
+
+const alertHeader = "alert\tstate\tvalue\trule\theld\tsource"
+
+func alertRow(a *status.Alert) string {
+	metric := a.Metric
+	if a.Rate {
+		metric += " per second"
+	}
+	held := time.Duration(a.ForSeconds * float64(time.Second)).Round(time.Second)
+	return fmt.Sprintf("%s\t%s\t%g\t%s %s %g\t%v\t%s", a.Name, a.State, a.Value, metric, a.Comparison, a.Threshold, held, orDash(a.Source))
+}
+
+func printAlerts(w io.Writer, list []status.Alert) error {
+	var b strings.Builder
+	section(&b, "Alerts", alertHeader, rows(list, alertRow))
+	_, err := io.WriteString(w, strings.TrimPrefix(b.String(), "\n"))
+	return err
+}
+
+func printExplanation(w io.Writer, e *status.Explanation) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s%s under manifest revision %d\n", e.Method, e.Host, e.Path, e.Revision)
+	if e.Route == "" {
+		b.WriteString("No route matches: the request is refused with reason no_route.\n")
+		_, err := io.WriteString(w, b.String())
+		return err
+	}
+	kind := "not idempotent: runs at most once"
+	switch {
+	case e.Idempotent:
+		kind = "idempotent: may be sent again"
+	case e.KeyRequired:
+		kind += ", an order key is required"
+	}
+	fmt.Fprintf(&b, "Route %s (source %s) leads to service %s\n", e.Route, orDash(e.Source), e.Service)
+	fmt.Fprintf(&b, "%s; priority %d, deadline %s\n", kind, e.Priority, e.Deadline)
+	fmt.Fprintf(&b, "%d of %d backend servers are eligible\n", e.Eligible, len(e.Servers))
+	section(&b, "Backend servers", "name\taddress\tpool\tin flight\tlimit\tresult", rows(e.Servers, serverRow))
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func serverRow(s *status.Server) string {
+	result := "eligible"
+	if !s.Eligible {
+		result = "no: " + s.Reason
+	}
+	if s.Cold {
+		result += " (cold)"
+	}
+	load := "-\t-"
+	if s.Known {
+		load = fmt.Sprintf("%d\t%d", s.Inflight, s.Limit)
+	}
+	return fmt.Sprintf("%s\t%s\t%s\t%s\t%s", s.Name, s.Address, s.Pool, load, result)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -68,15 +68,19 @@
 func (c *Counters) Map() *expvar.Map { return c.root }
 
 // Value returns the integer behind a dotted name such as "refusals.shed", for
-// alert rules. ok is false when there is no such integer counter.
+// alert rules. ok is false when there is no such integer counter or gauge.
 func (c *Counters) Value(name string) (value int64, ok bool) {
 	return lookup(c.root, name)
 }
 
 func lookup(m *expvar.Map, name string) (int64, bool) {
 	if v := m.Get(name); v != nil {
-		if i, ok := v.(*expvar.Int); ok {
-			return i.Value(), true
+		switch v := v.(type) {
+		case *expvar.Int:
+			return v.Value(), true
+		case expvar.Func:
+			i, ok := v.Value().(int64)
+			return i, ok
 		}
 	}
 	for i := 0; i < len(name); i++ {
--- a/internal/tomlfile/problem.go
+++ b/internal/tomlfile/problem.go
@@ -15,9 +15,9 @@
 
 // Problem is one mistake in a file.
 type Problem struct {
-	Line int    // from 1; 0 when the line is not known
-	Key  string // path such as services[0].name; may be empty
-	Text string
+	Line int    `json:"line"` // from 1; 0 when the line is not known
+	Key  string `json:"key"`  // path such as services[0].name; may be empty
+	Text string `json:"text"`
 }
 
 // String returns "line 7: services[0].name: text".
