Refuse requests that crash backend servers

Cause: a request that crashes every server that runs it is sent again and takes down one server after the other.

--- /dev/null
+++ b/internal/controller/suspects/suspects_test.go
@@ -0,0 +1,88 @@
+package suspects
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/wire"
+)
+
+// pair returns two hosts that know each other, as many more that never answer,
+// and a function that stops them.
+func pair(silent int) (a, b *host, stop func()) {
+	n := &network{dice: newDice(1), gossipLoss: 1, gossipLatest: time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	byName := map[string]*state.Member{}
+	for i := range silent {
+		name := fmt.Sprint("silent", i)
+		byName[name] = &state.Member{Name: name, Address: name, Alive: true}
+	}
+	for _, name := range []string{"a", "b"} {
+		h := &host{net: n, name: name, store: state.NewStore(state.Member{Name: name}), counters: metrics.New()}
+		h.c = New(Config{Clock: clock.NewMonotonic(), Store: h.store, Gossip: h, Caller: h, Counters: h.counters, Log: zap.NewNop()})
+		h.service = &Service{c: h.c}
+		byName[name] = &state.Member{Name: name, Address: name, Alive: true}
+		n.hosts = append(n.hosts, h)
+	}
+	for _, h := range n.hosts {
+		h.store.Update(func(s *state.Snapshot) { s.Members = &state.Members{Self: *byName[h.name], ByName: byName} })
+		go func() { h.c.Run(ctx); done <- struct{}{} }()
+	}
+	return n.hosts[0], n.hosts[1], func() { cancel(); <-done; <-done }
+}
+
+// TestOneRepetitionInTheFleet guards against two hosts that both repeat a
+// request that crashed servers, and against a repetition by a host that cannot
+// ask the others.
+func TestOneRepetitionInTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx := is.New(t), context.Background()
+		a, b, stop := pair(0)
+		is.True(a.c.Crashed(ctx, 1, "s1", true))
+		is.True(!a.c.Crashed(ctx, 1, "s1", true))
+		is.True(!b.c.Crashed(ctx, 1, "s2", true))
+		is.True(b.c.Crashed(ctx, 2, "s1", true))
+		is.Equal(a.store.Load().Suspects.ByFingerprint[1].Crashes, 2)
+		b.c.Succeeded(2)
+		time.Sleep(time.Second)
+		is.Equal(len(a.store.Load().Suspects.ByFingerprint), 1) // cleared everywhere
+		stop()
+		a, _, stop = pair(3)
+		is.True(!a.c.Crashed(ctx, 1, "s1", true)) // 1 of 4 answered
+		stop()
+	})
+}
+
+// TestFullInbox guards against a request that blocks because the controller is
+// behind, and against events that vanish without being counted.
+func TestFullInbox(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _, stop := pair(0)
+		stop()
+		for range inboxLength + 7 {
+			a.c.Succeeded(1)
+		}
+		is.Equal(a.c.dropped.Value(), int64(7))
+		is.True(!a.c.Crashed(context.Background(), 1, "s", true))
+		is.True(a.service.Notice(&wire.SuspectRequest{}, &wire.SuspectReply{}) != nil)
+	})
+}
+
+// TestFromWire guards against news that no host of this program sends.
+func TestFromWire(t *testing.T) {
+	good := wire.Suspect{Fingerprint: 1, Origin: "a", Crashes: 1, TTLMillis: 1}
+	bad := []wire.Suspect{good, good, good}
+	bad[0].Origin, bad[1].Crashes, bad[2].TTLMillis = "", -1, 0
+	is.New(t).Equal(len(fromWire(append(bad, good))), 1)
+}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -78,6 +78,11 @@
 	// BeforeDispatch, when set, runs right before the first byte may leave. An
 	// error stops the attempt unsent. The orderkey filter records the key here.
 	BeforeDispatch func() error
+	// Fingerprint identifies the request among suspects; set by the poison filter.
+	Fingerprint uint64
+	// Crashed is true once a backend server died during an attempt. CrashRetry
+	// allows one more attempt after that. Both belong to the poison filter.
+	Crashed, CrashRetry bool
 }
 
 // Outcome is the result of a request or of one attempt.
@@ -87,6 +92,7 @@
 	Response *Response // set when Verdict is Ran and the answer is at hand
 	FreshKey string    // order key to send again with, after a binding refusal
 	Cause    error     // detail for logs; may be nil
+	Crashed  bool      // the backend server closed or reset the connection while the request ran
 }
 
 // Refuse returns the outcome of a request that did not run.
--- a/internal/filter/ports.go
+++ b/internal/filter/ports.go
@@ -78,6 +78,10 @@
 
 // SuspectReporter hears of requests that were in flight on a server that died.
 type SuspectReporter interface {
-	Crashed(fingerprint uint64, idempotent bool, others int)
+	// Crashed reports that server died while it ran the request. With wantRetry
+	// it returns whether this request may be sent once more; it may wait for
+	// other entry hosts, for at most some 60 ms.
+	Crashed(ctx context.Context, fingerprint uint64, server string, wantRetry bool) (retry bool)
+	// Succeeded reports that a suspected request ran to its end. It never blocks.
 	Succeeded(fingerprint uint64)
 }
--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -47,7 +47,7 @@
 		reason = refusal
 	}
 	d.Admitter.Release(g, report(v, reason, &res))
-	out := filter.Outcome{Verdict: v, Reason: reason, Cause: res.Err}
+	out := filter.Outcome{Verdict: v, Reason: reason, Cause: res.Err, Crashed: crashed(v, reason, &res)}
 	if v == verdict.Ran {
 		out.Response = res.Response
 	}
@@ -70,6 +70,13 @@
 	return verdict.ReasonNone, nil
 }
 
+// crashed reports whether the backend server may have died of the request. An
+// answer that was cut by this side does not count.
+func crashed(v verdict.Verdict, reason verdict.Reason, res *filter.Result) bool {
+	cut := reason == verdict.ReasonAnswerCut || reason == verdict.ReasonWriteFailed
+	return res.Reset && v == verdict.MayHaveRun && cut
+}
+
 func report(v verdict.Verdict, reason verdict.Reason, res *filter.Result) filter.Report {
 	r := filter.Report{Verdict: v, Reason: reason, ServiceTime: res.ServiceTime, Crashed: res.Reset, Inflight: -1}
 	r.Failed = v == verdict.MayHaveRun
--- /dev/null
+++ b/internal/filters/poison_test.go
@@ -0,0 +1,117 @@
+package filters
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+type reporter struct {
+	retry              bool
+	crashed, succeeded int
+	server             string
+	wanted             bool
+}
+
+func (r *reporter) Crashed(_ context.Context, _ uint64, server string, wantRetry bool) bool {
+	r.crashed, r.server, r.wanted = r.crashed+1, server, wantRetry
+	return r.retry
+}
+
+func (r *reporter) Succeeded(uint64) { r.succeeded++ }
+
+// TestPoisonAttempts guards against attempts after a crash that were not
+// allowed, and against a refusal that says "not run" after an attempt that may
+// have run.
+func TestPoisonAttempts(t *testing.T) {
+	died := filter.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonAnswerCut, Crashed: true}
+	ran := filter.Outcome{Verdict: verdict.Ran}
+	type refusal struct {
+		v verdict.Verdict
+		r verdict.Reason
+	}
+	for _, c := range []struct {
+		name     string
+		retry    bool
+		suspect  state.Suspect // known before each attempt
+		inner    []filter.Outcome
+		attempts int
+		reached  int // attempts that reached a backend server
+		last     refusal
+	}{
+		{"innocent", false, state.Suspect{}, []filter.Outcome{ran}, 1, 1, refusal{verdict.Ran, verdict.ReasonNone}},
+		{"suspect", false, state.Suspect{Crashes: 1, Refuse: true, Expires: 9}, nil, 1, 0, refusal{verdict.NotRun, verdict.ReasonSuspect}},
+		{"parole", false, state.Suspect{Crashes: 2, Refuse: true, Expires: 5}, []filter.Outcome{ran}, 1, 1, refusal{verdict.Ran, verdict.ReasonNone}},
+		{"no repetition", false, state.Suspect{}, []filter.Outcome{died, ran}, 2, 1, refusal{verdict.MayHaveRun, verdict.ReasonSuspect}},
+		{"one repetition", true, state.Suspect{Crashes: 1, Refuse: true, Expires: 9}, []filter.Outcome{died, died, ran}, 3, 2, refusal{verdict.MayHaveRun, verdict.ReasonSuspect}},
+		{"second crash elsewhere", true, state.Suspect{Crashes: 2, Refuse: true, Expires: 9}, []filter.Outcome{died, ran}, 2, 1, refusal{verdict.MayHaveRun, verdict.ReasonSuspect}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clk, store, rep := &clock.Manual{}, state.NewStore(state.Member{Name: "a"}), &reporter{retry: c.retry}
+			clk.Set(5)
+			p := &Poison{Clock: clk, Store: store, Reporter: rep}
+			x := &filter.Exchange{Request: &filter.Request{Path: "/"}, Route: &manifest.Route{Name: "r", Idempotent: true, Retries: 3}}
+			if c.inner == nil || !c.inner[0].Crashed {
+				publish(store, x, c.suspect)
+			}
+			reached, out := 0, filter.Outcome{}
+			next := filter.HandlerFunc(func(_ context.Context, x *filter.Exchange) filter.Outcome {
+				x.Grant = &filter.Grant{Server: &manifest.BackendServer{Name: "s1"}}
+				publish(store, x, c.suspect)
+				reached++
+				rep.retry = c.retry && reached == 1
+				return c.inner[reached-1]
+			})
+			for range c.attempts {
+				out = p.Handle(context.Background(), x, next)
+			}
+			is.Equal(reached, c.reached)
+			is.Equal(refusal{out.Verdict, out.Reason}, c.last)
+			if rep.crashed > 0 {
+				is.Equal(rep.server, "s1")
+				is.True(rep.wanted)
+			}
+			if out.Verdict == verdict.Ran && c.suspect.Crashes > 0 {
+				is.Equal(rep.succeeded, 1) // a success clears the suspect
+			}
+		})
+	}
+}
+
+func publish(store *state.Store, x *filter.Exchange, v state.Suspect) {
+	store.Update(func(s *state.Snapshot) {
+		s.Suspects = &state.Suspects{ByFingerprint: map[uint64]state.Suspect{}}
+		if v.Crashes > 0 {
+			s.Suspects.ByFingerprint[Fingerprint(x)] = v
+		}
+	})
+}
+
+// TestFingerprint guards against different requests that are refused together,
+// and against a fingerprint that allocates on the path of a request.
+func TestFingerprint(t *testing.T) {
+	part := rapid.SampledFrom([]string{"", "a", "b", "ab", "ba"})
+	draw := rapid.Custom(func(t *rapid.T) [6]string {
+		return [6]string{part.Draw(t, "route"), part.Draw(t, "method"), part.Draw(t, "path"), part.Draw(t, "query"), part.Draw(t, "key"), part.Draw(t, "body")}
+	})
+	exchange := func(p [6]string) *filter.Exchange {
+		return &filter.Exchange{Route: &manifest.Route{Name: p[0]}, Key: p[4], Request: &filter.Request{Method: p[1], Path: p[2], Query: p[3], Body: []byte(p[5])}}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := draw.Draw(t, "a"), draw.Draw(t, "b")
+		if (Fingerprint(exchange(a)) == Fingerprint(exchange(b))) != (a == b) {
+			t.Fatalf("%q and %q", a, b)
+		}
+	})
+	x := exchange([6]string{"route", "GET", "/lots/7", "a=b", "", "body"})
+	is.New(t).Equal(testing.AllocsPerRun(100, func() { Fingerprint(x) }), 0.0)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -47,6 +47,20 @@
 	TTLMillis   int64
 	Origin      string // entry host that observed the crash
 	Sequence    uint64 // per origin, so that old news does not replace newer
+	Server      string // backend server that died
+}
+
+// SuspectRequest tells of request fingerprints that crashed backend servers and
+// asks what the receiver knew of them before.
+type SuspectRequest struct {
+	Header
+	Suspects []Suspect
+}
+
+// SuspectReply tells what the receiver knew.
+type SuspectReply struct {
+	Header
+	Known []Suspect
 }
 
 // Successor tells which entry host took over the order records of a stopped one.
