Add pool decisions and the pools controller

Cause: the thin controller granted the first free server and knew no leases, cold starts or stragglers. Change: package balance with limits, slow start, straggler and failure ejection, choice, queue and measuring budget as pure decisions; the pools controller runs one holder per held lease, asks remote holders, falls back to the reduced limit, probes within budget and hands over. Selection asks other pools before dispatch. entryhost holds every lease until the leases controller is assembled.

--- /dev/null
+++ b/internal/balance/queue.go
@@ -0,0 +1,176 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+)
+
+// Item is one waiting request.
+type Item struct {
+	Priority   int // 0 to 9, from the route
+	Idempotent bool
+	Avoid      []string   // backend servers tried before
+	Enqueued   clock.Time // when it came
+	GiveUp     clock.Time // refused when not granted before this
+	Deadline   clock.Time // must be finished before this
+	Ref        any        // for the owner of the queue
+	sequence   uint64
+}
+
+// Ordering decides which waiting request is served first: the one with the
+// highest score, and among equals the one that came first.
+type Ordering interface {
+	Score(it *Item) float64
+}
+
+// Strict serves by route priority.
+type Strict struct{}
+
+// Score implements Ordering.
+func (Strict) Score(it *Item) float64 { return float64(it.Priority) }
+
+// FIFO serves in order of arrival.
+type FIFO struct{}
+
+// Score implements Ordering.
+func (FIFO) Score(*Item) float64 { return 0 }
+
+// Refusal is the reason for which a request may not wait.
+type Refusal uint8
+
+const (
+	// Accepted means that the request waits.
+	Accepted Refusal = iota
+	// Full means that the queue holds only requests that go before this one.
+	Full
+	// WontFinish means that the request would wait or run past its limits.
+	WontFinish
+)
+
+// Queue is the bounded queue of one pool.
+type Queue struct {
+	items    []*Item
+	limit    int
+	order    Ordering
+	sequence uint64
+}
+
+// NewQueue returns a queue of at most limit items.
+func NewQueue(limit int, order Ordering) *Queue {
+	return &Queue{limit: limit, order: order}
+}
+
+// SetLimit changes the bound. Items above it stay until they are served.
+func (q *Queue) SetLimit(limit int) { q.limit = limit }
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return len(q.items) }
+
+// Offer adds a request unless it cannot be served in time: with the items that
+// go before it and one slot coming free per median/slots, it must start before
+// GiveUp and finish before Deadline. When the queue is full, the item that is
+// served last is displaced if it goes after the new one.
+func (q *Queue) Offer(it *Item, now clock.Time, median time.Duration, slots int) (displaced *Item, r Refusal) {
+	q.sequence++
+	it.sequence = q.sequence
+	ahead := 0
+	for _, other := range q.items {
+		if q.before(other, it) {
+			ahead++
+		}
+	}
+	if slots <= 0 {
+		return nil, WontFinish
+	}
+	start := now.Add(time.Duration(ahead+1) * median / time.Duration(slots))
+	if !start.Before(it.GiveUp) || !start.Add(median).Before(it.Deadline) {
+		return nil, WontFinish
+	}
+	if len(q.items) >= q.limit {
+		if ahead >= q.limit || len(q.items) == 0 {
+			return nil, Full
+		}
+		displaced = q.last()
+		q.Remove(displaced)
+	}
+	q.items = append(q.items, it)
+	return displaced, Accepted
+}
+
+// Next returns the item to serve first without removing it, or nil.
+func (q *Queue) Next() *Item {
+	var first *Item
+	for _, it := range q.items {
+		if first == nil || q.before(it, first) {
+			first = it
+		}
+	}
+	return first
+}
+
+func (q *Queue) last() *Item {
+	var last *Item
+	for _, it := range q.items {
+		if last == nil || q.before(last, it) {
+			last = it
+		}
+	}
+	return last
+}
+
+// Remove removes an item and reports whether it was waiting.
+func (q *Queue) Remove(it *Item) bool {
+	for i, other := range q.items {
+		if other == it {
+			end := len(q.items) - 1
+			q.items[i] = q.items[end]
+			q.items[end] = nil
+			q.items = q.items[:end]
+			return true
+		}
+	}
+	return false
+}
+
+// Expired removes and returns the items that can no longer be served in time.
+func (q *Queue) Expired(now clock.Time, median time.Duration) []*Item {
+	var out []*Item
+	kept := q.items[:0]
+	for _, it := range q.items {
+		if !now.Before(it.GiveUp) || !now.Add(median).Before(it.Deadline) {
+			out = append(out, it)
+		} else {
+			kept = append(kept, it)
+		}
+	}
+	clear(q.items[len(kept):])
+	q.items = kept
+	return out
+}
+
+// NextGiveUp returns the earliest GiveUp of the items, and false if there are none.
+func (q *Queue) NextGiveUp() (clock.Time, bool) {
+	var t clock.Time
+	for i, it := range q.items {
+		if i == 0 || it.GiveUp.Before(t) {
+			t = it.GiveUp
+		}
+	}
+	return t, len(q.items) > 0
+}
+
+// Drain removes and returns all items.
+func (q *Queue) Drain() []*Item {
+	out := q.items
+	q.items = nil
+	return out
+}
+
+func (q *Queue) before(a, b *Item) bool {
+	sa, sb := q.order.Score(a), q.order.Score(b)
+	if sa != sb {
+		return sa > sb
+	}
+	return a.sequence < b.sequence
+}
--- /dev/null
+++ b/internal/controller/pools/holder.go
@@ -0,0 +1,331 @@
+package pools
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/balance"
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// Lengths of the bounded queues towards a holder's goroutine.
+const (
+	maxReports = 4096
+	maxOffers  = 1024
+)
+
+// minWait is the queue time of an ask that names none. Together with the time
+// before and after it keeps refusals under 5 ms.
+const minWait = 4 * time.Millisecond
+
+// holder runs one pool whose lease this process holds. Requests take slots
+// through the published view; the run goroutine is the only writer of the
+// pool's state and of its queue.
+type holder struct {
+	c       *Controller
+	id      manifest.PoolID
+	lease   *state.HeldLease
+	cancel  context.CancelFunc
+	view    atomic.Pointer[published]
+	waiting atomic.Int64 // requests in offers or in queue; the fast path is closed while above 0
+	sealed  atomic.Bool
+	offers  chan *waiter
+	reports chan report
+	changed chan struct{} // snapshot changed
+	freed   chan struct{} // a slot came free while requests wait
+
+	// The fields below belong to the run goroutine.
+	pool       *balance.Pool
+	queue      *balance.Queue
+	stats      balance.Stats
+	nextTick   clock.Time
+	gossiped   clock.Time
+	gossipFree int
+}
+
+// published is what the path of a request reads. It is immutable.
+type published struct {
+	pool     *manifest.Pool
+	view     *balance.View
+	servers  []*manifest.BackendServer // parallel to view.Servers
+	backends []*backend                // parallel to view.Servers
+}
+
+type report struct {
+	backend *backend
+	name    string
+	o       balance.Observation
+}
+
+// waiter is one request that waits for a slot.
+type waiter struct {
+	ask    filter.Ask
+	pool   *manifest.Pool
+	item   balance.Item
+	remote bool
+	settle atomic.Bool // set once, by the side that decides: run goroutine or asker
+	result chan result // capacity 1
+}
+
+type result struct {
+	rec    *record
+	reason verdict.Reason
+}
+
+func newHolder(c *Controller, id manifest.PoolID, lease *state.HeldLease) *holder {
+	h := &holder{
+		c: c, id: id, lease: lease,
+		offers: make(chan *waiter, maxOffers), reports: make(chan report, maxReports),
+		changed: make(chan struct{}, 1), freed: make(chan struct{}, 1),
+		pool: balance.NewPool(balance.Config{}), queue: balance.NewQueue(0, c.ordering),
+	}
+	h.view.Store(&published{view: h.pool.View()})
+	h.refresh()
+	h.adopt()
+	return h
+}
+
+// poke makes the run goroutine read the snapshot again.
+func (h *holder) poke() { signal(h.changed) }
+
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// acquire takes a slot or waits for one. rec is nil when it is refused.
+func (h *holder) acquire(ctx context.Context, cur *manifest.Pool, ask filter.Ask, now clock.Time, remote bool) (rec *record, refusal verdict.Reason) {
+	if h.sealed.Load() {
+		return nil, verdict.ReasonNoLease
+	}
+	if pub := h.view.Load(); pub.pool == cur && h.waiting.Load() == 0 {
+		if rec := h.take(pub, &ask, now, remote); rec != nil {
+			return rec, verdict.ReasonNone
+		}
+	}
+	return h.wait(ctx, cur, ask, now, remote)
+}
+
+// take takes a slot on the server the view prefers, or returns nil.
+func (h *holder) take(pub *published, ask *filter.Ask, now clock.Time, remote bool) *record {
+	i := pub.view.Take(now, ask.Idempotent, ask.Avoid, rand.Uint64())
+	if i < 0 {
+		return nil
+	}
+	b := pub.backends[i]
+	rec := &record{
+		backend: b, holder: h, at: now, remote: remote,
+		expires: now.Add(ask.RunLimit + filter.GrantStart),
+		grant: filter.Grant{
+			Pool: pub.pool, Server: pub.servers[i],
+			Holder: h.c.store.Load().Members.Self.Name, StartBy: now.Add(filter.GrantStart),
+		},
+	}
+	// Seal sets the mark before it reads the counts: either this sees the mark
+	// or Seal sees the slot as taken.
+	if h.sealed.Load() || !b.put(rec, h.c.sequence.Add(1)) {
+		b.counter.Release()
+		return nil
+	}
+	h.c.count.granted.Add(1)
+	return rec
+}
+
+// wait hands the request to the run goroutine and waits for its decision, the
+// end of the longest queue time, or ctx.
+func (h *holder) wait(ctx context.Context, cur *manifest.Pool, ask filter.Ask, now clock.Time, remote bool) (*record, verdict.Reason) {
+	limit := h.queueTime(&ask)
+	w := &waiter{
+		ask: ask, pool: cur, remote: remote, result: make(chan result, 1),
+		item: balance.Item{
+			Priority: ask.Priority, Idempotent: ask.Idempotent, Avoid: ask.Avoid,
+			Enqueued: now, GiveUp: now.Add(limit), Deadline: now.Add(ask.Remaining),
+		},
+	}
+	w.item.Ref = w
+	h.waiting.Add(1)
+	select {
+	case h.offers <- w:
+	default:
+		h.waiting.Add(-1)
+		return nil, verdict.ReasonQueueFull
+	}
+	h.c.count.queued.Add(1)
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	reason := verdict.ReasonOverload
+	select {
+	case r := <-w.result:
+		return r.rec, r.reason
+	case <-timer.C:
+	case <-ctx.Done():
+		reason = verdict.ReasonCallerGone
+	}
+	if w.settle.CompareAndSwap(false, true) {
+		return nil, reason
+	}
+	r := <-w.result // the run goroutine decided just before
+	return r.rec, r.reason
+}
+
+// queueTime bounds the time in the queue. Where requests run for long, slots
+// come free rarely, and half a service time is allowed.
+func (h *holder) queueTime(ask *filter.Ask) time.Duration {
+	limit := ask.Wait
+	if limit <= 0 {
+		limit = minWait
+	}
+	return min(max(limit, h.view.Load().view.Median/2), ask.Remaining)
+}
+
+// observe passes an observation to the run goroutine, or drops and counts it.
+func (h *holder) observe(b *backend, o balance.Observation) {
+	b.seen.Store(int64(h.c.clock.Now()))
+	select {
+	case h.reports <- report{backend: b, name: b.key, o: o}:
+	default:
+		h.c.count.reportsDropped.Add(1)
+	}
+	if h.waiting.Load() > 0 {
+		signal(h.freed)
+	}
+}
+
+// run is the single writer of the pool until ctx ends.
+func (h *holder) run(ctx context.Context) {
+	if h.c.transport != nil {
+		h.c.wg.Go(func() { h.probe(ctx) })
+	}
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			h.stop()
+			return
+		case w := <-h.offers:
+			h.offer(w)
+		case r := <-h.reports:
+			h.report(r)
+		case <-h.changed:
+			h.refresh()
+		case <-h.freed:
+		case <-timer.C:
+		}
+		now := h.c.clock.Now()
+		if !now.Before(h.nextTick) {
+			h.housekeep(now)
+			h.nextTick = now.Add(tick)
+		}
+		h.serve(now)
+		timer.Reset(h.untilNext(now))
+	}
+}
+
+func (h *holder) untilNext(now clock.Time) time.Duration {
+	next := h.nextTick
+	if t, ok := h.queue.NextGiveUp(); ok && t.Before(next) {
+		next = t
+	}
+	return max(next.Sub(now), 100*time.Microsecond)
+}
+
+// stop ends all waiting after the lease was lost.
+func (h *holder) stop() {
+	h.sealed.Store(true)
+	for _, it := range h.queue.Drain() {
+		h.settle(it.Ref.(*waiter), nil, verdict.ReasonNoLease)
+	}
+	for {
+		select {
+		case w := <-h.offers:
+			h.settle(w, nil, verdict.ReasonNoLease)
+		default:
+			return
+		}
+	}
+}
+
+// settle tells a waiter the decision. It returns false when the waiter has
+// given up; a slot that was taken for it is then given back.
+func (h *holder) settle(w *waiter, rec *record, reason verdict.Reason) bool {
+	h.waiting.Add(-1)
+	if w.settle.CompareAndSwap(false, true) {
+		w.result <- result{rec, reason}
+		return true
+	}
+	if rec != nil && h.c.backends.Load().end(rec.grant.ID) != nil {
+		rec.backend.counter.Release()
+	}
+	return false
+}
+
+func (h *holder) offer(w *waiter) {
+	if h.view.Load().pool != w.pool {
+		h.refresh()
+	}
+	pub, now := h.view.Load(), h.c.clock.Now()
+	if pub.pool == nil || pub.pool.Out || len(pub.view.Servers) == 0 {
+		h.settle(w, nil, verdict.ReasonNoBackend)
+		return
+	}
+	if h.queue.Len() == 0 && h.lease.Valid(now) {
+		if rec := h.take(pub, &w.ask, now, w.remote); rec != nil {
+			h.settle(w, rec, verdict.ReasonNone)
+			return
+		}
+	}
+	displaced, refusal := h.queue.Offer(&w.item, now, pub.view.Median, pub.view.Slots)
+	if displaced != nil {
+		h.settle(displaced.Ref.(*waiter), nil, verdict.ReasonDisplaced)
+	}
+	switch refusal {
+	case balance.Full:
+		h.settle(w, nil, verdict.ReasonQueueFull)
+	case balance.WontFinish:
+		h.settle(w, nil, verdict.ReasonWontFinish)
+	}
+}
+
+// serve grants free slots to waiting requests and refuses those out of time.
+func (h *holder) serve(now clock.Time) {
+	pub := h.view.Load()
+	for _, it := range h.queue.Expired(now, pub.view.Median) {
+		h.settle(it.Ref.(*waiter), nil, verdict.ReasonOverload)
+	}
+	for it := h.queue.Next(); it != nil; it = h.queue.Next() {
+		w := it.Ref.(*waiter)
+		if !h.lease.Valid(now) || h.sealed.Load() {
+			h.queue.Remove(it)
+			h.settle(w, nil, verdict.ReasonNoLease)
+			continue
+		}
+		rec := h.take(pub, &w.ask, now, w.remote)
+		if rec == nil {
+			return
+		}
+		h.queue.Remove(it)
+		h.settle(w, rec, verdict.ReasonNone)
+	}
+}
+
+func (h *holder) report(r report) {
+	now := h.c.clock.Now()
+	if h.pool.Observe(r.name, r.o, now) {
+		h.publish()
+	}
+}
+
+// publish publishes the pool's view with the servers it stands for.
+func (h *holder) publish() {
+	old, view := h.view.Load(), h.pool.View()
+	h.view.Store(&published{pool: old.pool, view: view, servers: old.servers, backends: old.backends})
+}
--- /dev/null
+++ b/internal/controller/pools/remote.go
@@ -0,0 +1,243 @@
+package pools
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+	"github.com/anvilfront/anvilfront/internal/wire"
+)
+
+const (
+	// unreachableFor is how long a holder that did not answer is not asked again.
+	unreachableFor = 200 * time.Millisecond
+	// doneTimeout bounds one Pool.Done call. Its loss costs the slots until the run limit.
+	doneTimeout = time.Second
+	maxDone     = 4096 // queued Done messages per holder
+	maxBatch    = 256  // Done messages in one call
+)
+
+// sender reports ended grants to one other holder. Its run goroutine sends
+// what has come together while the call before was under way.
+type sender struct {
+	name        string
+	queue       chan wire.GrantDone
+	cancel      context.CancelFunc
+	unreachable atomic.Int64 // clock.Time until which the holder is not asked
+}
+
+// syncSenders keeps a sender for each other entry host that holds a lease.
+// Senders of hosts that are still alive stay, for grants that are in flight.
+func (c *Controller) syncSenders(ctx context.Context, snap *state.Snapshot) {
+	if c.caller == nil {
+		return
+	}
+	old := *c.senders.Load()
+	next := make(map[string]*sender, len(old))
+	for name, s := range old {
+		if snap.Members.ByName[name] != nil {
+			next[name] = s
+		}
+	}
+	for _, name := range snap.Leases.Holders {
+		if name == "" || name == snap.Members.Self.Name || next[name] != nil || snap.Members.ByName[name] == nil {
+			continue
+		}
+		s := &sender{name: name, queue: make(chan wire.GrantDone, maxDone)}
+		runCtx, cancel := context.WithCancel(ctx)
+		s.cancel = cancel
+		c.wg.Go(func() { c.runSender(runCtx, s) })
+		next[name] = s
+	}
+	c.senders.Store(&next)
+	for name, s := range old {
+		if next[name] == nil {
+			s.cancel()
+		}
+	}
+}
+
+// acquireRemote asks the holder of the lease. asked is false when nothing left
+// this process, so that the reduced limit applies.
+func (c *Controller) acquireRemote(ctx context.Context, snap *state.Snapshot, name string, pool *manifest.Pool, ask filter.Ask, now clock.Time) (*filter.Grant, error, bool) {
+	s, member := (*c.senders.Load())[name], snap.Members.ByName[name]
+	if c.caller == nil || s == nil || member == nil || int64(now) < s.unreachable.Load() {
+		return nil, nil, false
+	}
+	timeout := min(ask.Remaining, filter.GrantStart)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req := &wire.AcquireRequest{
+		Header: c.header(snap), Pool: pool.ID, Route: ask.Route, Priority: ask.Priority, Idempotent: ask.Idempotent,
+		RemainingMicros: ask.Remaining.Microseconds(), RunLimitMillis: ask.RunLimit.Milliseconds(),
+		Avoid: ask.Avoid, WaitMicros: ask.Wait.Microseconds(),
+	}
+	reply := &wire.AcquireReply{}
+	err := c.caller.Call(callCtx, peer.Data, member.Address, "Pool.Acquire", req, reply)
+	switch {
+	case err == nil:
+	case ctx.Err() != nil:
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonCallerGone, err), true
+	case errors.Is(err, peer.ErrNotSent):
+		s.unreachable.Store(int64(now.Add(unreachableFor)))
+		return nil, nil, false
+	default:
+		s.unreachable.Store(int64(c.clock.Now().Add(unreachableFor)))
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonGrantLost, err), true
+	}
+	if reply.Load.Slots > 0 {
+		c.note(reply.Load)
+	}
+	g, err := c.granted(snap, name, pool, reply, now)
+	return g, err, true
+}
+
+// granted turns a reply into a grant, if the server is still eligible here.
+func (c *Controller) granted(snap *state.Snapshot, name string, pool *manifest.Pool, reply *wire.AcquireReply, asked clock.Time) (*filter.Grant, error) {
+	if !reply.Granted {
+		reason, ok := verdict.ParseReason(reply.ReasonName)
+		if !ok || reason == verdict.ReasonNone {
+			reason = verdict.ReasonOverload
+		}
+		return nil, verdict.New(verdict.NotRun, reason, nil)
+	}
+	g := &filter.Grant{ID: reply.GrantID, Pool: pool, Holder: name, StartBy: asked.Add(filter.GrantStart)}
+	if cur, err := c.eligible(c.store.Load(), pool.ID); err == nil {
+		for _, b := range cur.Servers {
+			if b.Name == reply.Server && !b.Leaving {
+				g.Server, g.Pool = b, cur
+				c.count.remote.Add(1)
+				return g, nil
+			}
+		}
+	}
+	g.Server = &manifest.BackendServer{Name: reply.Server}
+	c.sendDone(g, filter.Report{Verdict: verdict.NotRun, Reason: verdict.ReasonNoBackend, Inflight: -1})
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonNoBackend, nil)
+}
+
+func (c *Controller) header(snap *state.Snapshot) wire.Header {
+	h := wire.Header{Version: wire.Version, From: snap.Members.Self.Name, Incarnation: snap.Members.Self.Incarnation}
+	if snap.Manifest != nil {
+		h.Revision = snap.Manifest.File.Revision
+	}
+	return h
+}
+
+// sendDone queues the end of a grant for its holder, or drops and counts it;
+// the holder then frees the slot at the run limit.
+func (c *Controller) sendDone(g *filter.Grant, r filter.Report) {
+	s := (*c.senders.Load())[g.Holder]
+	if s == nil {
+		c.count.doneDropped.Add(1)
+		return
+	}
+	select {
+	case s.queue <- wire.GrantDone{
+		Pool: g.Pool.ID, GrantID: g.ID, Verdict: uint8(r.Verdict), ReasonName: r.Reason.String(),
+		ServiceTimeMicros: r.ServiceTime.Microseconds(), Failed: r.Failed, Crashed: r.Crashed,
+		Instance: r.Instance, Inflight: r.Inflight,
+	}:
+	default:
+		c.count.doneDropped.Add(1)
+	}
+}
+
+func (c *Controller) runSender(ctx context.Context, s *sender) {
+	for {
+		select {
+		case first := <-s.queue:
+			c.flush(s, first)
+		case <-ctx.Done():
+			select {
+			case first := <-s.queue: // the last batch
+				c.flush(s, first)
+			default:
+			}
+			return
+		}
+	}
+}
+
+// flush sends first and what else is queued. One retry covers a connection
+// that the peer closed while it was idle.
+func (c *Controller) flush(s *sender, first wire.GrantDone) {
+	batch := []wire.GrantDone{first}
+	for len(batch) < maxBatch && len(s.queue) > 0 {
+		batch = append(batch, <-s.queue)
+	}
+	snap := c.store.Load()
+	member := snap.Members.ByName[s.name]
+	if member == nil {
+		c.count.doneLost.Add(int64(len(batch)))
+		return
+	}
+	req := &wire.DoneRequest{Header: c.header(snap), Done: batch}
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
+		err := c.caller.Call(ctx, peer.Data, member.Address, "Pool.Done", req, &wire.DoneReply{})
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	c.count.doneLost.Add(int64(len(batch)))
+}
+
+// Receiver answers the Pool messages of other entry hosts.
+type Receiver struct{ c *Controller }
+
+// Acquire grants a slot of a pool held here, or refuses.
+func (r *Receiver) Acquire(req *wire.AcquireRequest, reply *wire.AcquireReply) error {
+	c := r.c
+	snap, now := c.store.Load(), c.clock.Now()
+	reply.Header = c.header(snap)
+	reply.Load.Pool = req.Pool
+	refuse := func(reason verdict.Reason) error {
+		reply.ReasonName, reply.Holder = reason.String(), snap.Leases.Holders[req.Pool]
+		return nil
+	}
+	cur, err := c.eligible(snap, req.Pool)
+	if err != nil {
+		return refuse(verdict.ReasonNoBackend)
+	}
+	held, h := snap.Leases.Held[req.Pool], (*c.holders.Load())[req.Pool]
+	if held == nil || h == nil || !held.Valid(now) {
+		return refuse(verdict.ReasonNoLease)
+	}
+	rec, refusal := h.acquire(context.Background(), cur, filter.Ask{
+		Priority: req.Priority, Route: req.Route, Idempotent: req.Idempotent, Avoid: req.Avoid,
+		Remaining: time.Duration(req.RemainingMicros) * time.Microsecond,
+		RunLimit:  min(time.Duration(req.RunLimitMillis)*time.Millisecond, time.Duration(cur.Service.RunLimit)),
+		Wait:      time.Duration(req.WaitMicros) * time.Microsecond,
+	}, now, true)
+	reply.Load = h.load()
+	if rec == nil {
+		return refuse(refusal)
+	}
+	reply.Granted, reply.GrantID, reply.Server = true, rec.grant.ID, rec.grant.Server.Name
+	return nil
+}
+
+// Done ends grants that were given to the sender.
+func (r *Receiver) Done(req *wire.DoneRequest, reply *wire.DoneReply) error {
+	reply.Header = r.c.header(r.c.store.Load())
+	for i := range req.Done {
+		d := &req.Done[i]
+		reason, _ := verdict.ParseReason(d.ReasonName)
+		r.c.done(d.GrantID, filter.Report{
+			Verdict: verdict.Verdict(d.Verdict), Reason: reason,
+			ServiceTime: time.Duration(d.ServiceTimeMicros) * time.Microsecond,
+			Failed:      d.Failed, Crashed: d.Crashed, Instance: d.Instance, Inflight: d.Inflight,
+		})
+	}
+	return nil
+}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -46,11 +47,11 @@
 	clk := clock.NewMonotonic()
 	counters := metrics.New()
 	store := state.NewStore(state.Member{Name: s.Name, Address: s.Peer, DataCentre: s.DataCentre, Alive: true})
-	p := pools.New(clk, store)
+	p := pools.New(pools.Config{Clock: clk, Store: store, Counters: counters, Log: log})
 	chain := filter.Chain(
 		filters.Deadline{},
 		filters.Route{},
-		filters.Selection{},
+		&filters.Selection{Clock: clk},
 		&filters.Admission{Clock: clk, Admitter: p},
 		&filters.Dispatch{Clock: clk, Admitter: p, Transport: backend.New(maxAnswerBytes)},
 	)
@@ -63,14 +64,24 @@
 // Address returns the address of the callers' listener.
 func (e *EntryHost) Address() string { return e.listener.Addr().String() }
 
-// Accept puts a manifest in force.
+// Accept puts a manifest in force. Until the leases controller is assembled,
+// this process holds the lease of every pool.
 func (e *EntryHost) Accept(m *manifest.Manifest) {
-	e.pools.Apply(m)
-	e.store.Update(func(s *state.Snapshot) { s.Manifest = m })
+	leases := &state.Leases{Held: map[manifest.PoolID]*state.HeldLease{}, Holders: map[manifest.PoolID]string{}}
+	for id := range m.Pools {
+		held := &state.HeldLease{Pool: id}
+		held.Until.Store(math.MaxInt64)
+		leases.Held[id], leases.Holders[id] = held, e.settings.Name
+	}
+	e.store.Update(func(s *state.Snapshot) { s.Manifest, s.Leases = m, leases })
 }
 
 // Run serves until ctx ends, then stops gracefully.
 func (e *EntryHost) Run(ctx context.Context) error {
+	running, stopPools := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopPools()
+	e.wg.Go(func() { e.pools.Run(running) })
+	<-e.pools.Ready()
 	e.wg.Go(func() {
 		if err := e.front.Serve(e.listener); err != nil {
 			e.log.Named("front").Error("Listener failed.", zap.Error(err))
@@ -80,6 +91,7 @@
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(e.settings.StopBound))
 	defer cancel()
 	err := e.front.Shutdown(stop)
+	stopPools()
 	e.wg.Wait()
 	return err
 }
--- a/internal/filter/ports.go
+++ b/internal/filter/ports.go
@@ -20,6 +20,7 @@
 	Remaining  time.Duration // time left until the request's deadline
 	RunLimit   time.Duration // how long the slot stays taken when it is not released
 	Avoid      []string      // backend servers tried before
+	Wait       time.Duration // longest time in a queue; holders of slow services may use more
 }
 
 // Grant is one slot on one backend server.
--- a/internal/filters/admission.go
+++ b/internal/filters/admission.go
@@ -15,18 +15,28 @@
 	Admitter filter.Admitter
 }
 
+// Bounds of the time in a queue. A refusal is due 5 ms after arrival; 4 ms of
+// it may be spent before and in the queue. A request that comes late to its
+// queue, after other attempts, still waits for up to 1 ms.
+const (
+	waitFromArrival = 4 * time.Millisecond
+	waitAtLeast     = time.Millisecond
+)
+
 // Name implements filter.Filter.
 func (*Admission) Name() string { return "admission" }
 
 // Handle implements filter.Filter.
 func (a *Admission) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
-	remaining := x.Deadline.Sub(a.Clock.Now())
+	now := a.Clock.Now()
+	remaining := x.Deadline.Sub(now)
 	if remaining <= 0 {
 		return filter.Refuse(verdict.ReasonDeadline, nil)
 	}
 	g, err := a.Admitter.Acquire(ctx, x.Pool, filter.Ask{
 		Priority: x.Route.Priority, Route: x.Route.Name, Idempotent: x.Route.Idempotent,
 		Remaining: remaining, RunLimit: time.Duration(x.Service.RunLimit), Avoid: x.Tried,
+		Wait: max(waitFromArrival-now.Sub(x.Arrived), waitAtLeast),
 	})
 	if err != nil {
 		e := verdict.From(err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -61,6 +61,12 @@
 	Free   int
 	Queued int
 	Slots  int
+	// MedianMicros is the median service time at the holder; 0 if unknown.
+	MedianMicros int64
+	// Cold names the servers of the pool that are not warm. It is meaningful
+	// to hosts whose manifest revision is not above Revision.
+	Cold     []string
+	Revision uint64
 }
 
 // Holder tells which entry host holds the lease of a pool.
@@ -147,6 +153,7 @@
 	RemainingMicros int64
 	RunLimitMillis  int64
 	Avoid           []string
+	WaitMicros      int64 // longest time in the queue
 }
 
 // AcquireReply grants a slot or refuses.
