--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,295 @@
+// Package ledger records what became of the order keys of one incarnation. It
+// decides whether an order may be dispatched; it has no sockets and starts no
+// goroutines.
+//
+// Many request goroutines use a ledger at the same time without a mutex. Each
+// key has one 64-bit word that holds its sequence number and state, and every
+// state change is one compare-and-swap on it. The sequence number in the word
+// makes a late change fail once the slot was given to a later key. Words were
+// chosen over a sharded lock, because the only rule that must be atomic, "at
+// most one copy leaves the issued state", concerns a single key. Copies of one
+// order meet at the record: the first one publishes it, the others wait on its
+// channel.
+package ledger
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// State is the state of a key.
+type State uint8
+
+const (
+	// Free means that the slot was never used.
+	Free State = iota
+	// Issued means that no order came under the key yet.
+	Issued
+	// Pending means that an order is being handled and no byte of it left.
+	Pending
+	// Dispatched means that the first byte of the order may have left.
+	Dispatched
+	// Done means that the order ran.
+	Done
+	// Unknown means that the order may have run.
+	Unknown
+	// Revoked means that the order did not run and never will.
+	Revoked
+	// Moved means that the right to run the order went to a successor.
+	Moved
+)
+
+// Config bounds a ledger.
+type Config struct {
+	Window     int           // unexpired keys
+	MaxRecords int           // orders with a record
+	MaxBytes   int64         // kept answers, and room reserved for running orders
+	MaxAnswer  int           // bytes of one kept answer
+	KeyLife    time.Duration // from issue to expiry
+}
+
+// DefaultConfig returns the bounds for one entry host: 131072 keys of 5
+// minutes are 436 keys per second, in slots of 24 bytes.
+func DefaultConfig() Config {
+	return Config{Window: 1 << 17, MaxRecords: 1 << 14, MaxBytes: 32 << 20, MaxAnswer: 64 << 10, KeyLife: 5 * time.Minute}
+}
+
+// Answer is what became of an order.
+type Answer struct {
+	Verdict  verdict.Verdict
+	Reason   verdict.Reason
+	Response *filter.Response // nil unless Ran and kept; never changed
+	FreshKey string           // with NotRun; may be ""
+}
+
+// size is the number of bytes that a ledger accounts for a kept answer.
+func (a *Answer) size() int {
+	if a.Response == nil {
+		return 0
+	}
+	n := len(a.Response.Body)
+	for _, h := range a.Response.Headers {
+		n += len(h.Name) + len(h.Value)
+	}
+	return n
+}
+
+// Record is one order.
+type Record struct {
+	sequence    uint64
+	expiry      clock.Time
+	fingerprint uint64
+	held        atomic.Int64 // bytes accounted in the ledger
+	answer      atomic.Pointer[Answer]
+	done        chan struct{}
+}
+
+// Done returns a channel that is closed when the record has an answer.
+func (r *Record) Done() <-chan struct{} { return r.done }
+
+// Answer returns the answer, or nil before Done is closed.
+func (r *Record) Answer() *Answer { return r.answer.Load() }
+
+// settle sets the answer unless there is one.
+func (r *Record) settle(a *Answer) {
+	if r.answer.CompareAndSwap(nil, a) {
+		close(r.done)
+	}
+}
+
+type slot struct {
+	word   atomic.Uint64 // sequence number << 8 | State
+	record atomic.Pointer[Record]
+	expiry atomic.Int64 // clock.Time of the key
+}
+
+func word(sequence uint64, s State) uint64 { return sequence<<8 | uint64(s) }
+
+func unpack(w uint64) (sequence uint64, s State) { return w >> 8, State(w) }
+
+// Ledger holds the keys of one incarnation.
+type Ledger struct {
+	cfg     Config
+	slots   []slot
+	offset  time.Duration // this process's clock minus the incarnation's clock
+	first   uint64        // lowest sequence number known
+	last    clock.Time    // imported: when the last key expires
+	foreign bool          // imported: no keys are issued
+	next    atomic.Uint64 // sequence number of the next key
+	swept   atomic.Uint64 // records below this sequence number were dropped
+	records atomic.Int64
+	bytes   atomic.Int64
+	running atomic.Int64
+	sealed  atomic.Bool
+	idle    chan struct{}
+}
+
+// New returns an empty ledger.
+func New(cfg Config) *Ledger { return newLedger(cfg, cfg.Window, 1) }
+
+func newLedger(cfg Config, window int, first uint64) *Ledger {
+	l := &Ledger{cfg: cfg, slots: make([]slot, window), first: first, idle: make(chan struct{}, 1)}
+	l.next.Store(first)
+	l.swept.Store(first)
+	return l
+}
+
+func (l *Ledger) slot(sequence uint64) *slot { return &l.slots[sequence%uint64(len(l.slots))] }
+
+func (l *Ledger) local(now clock.Time) clock.Time { return now.Add(-l.offset) }
+
+// sweepStep is how many slots each call sweeps. A call issues at most one key,
+// so any number above 1 catches up with the keys issued.
+const sweepStep = 8
+
+// Issue returns the sequence number and expiry of a new key. ok is false when
+// the window is full of unexpired keys or the ledger is sealed.
+func (l *Ledger) Issue(now clock.Time) (sequence uint64, expiry clock.Time, ok bool) {
+	now = l.local(now)
+	l.sweep(now, sweepStep)
+	expiry = now.Add(l.cfg.KeyLife)
+	for !l.foreign && !l.sealed.Load() {
+		n := l.next.Load()
+		s := l.slot(n)
+		old := s.word.Load()
+		if seq, _ := unpack(old); seq >= n { // taken by another goroutine
+			l.next.CompareAndSwap(n, n+1)
+			continue
+		}
+		if !reusable(s, old, now) {
+			if l.next.Load() != n {
+				continue
+			}
+			return 0, 0, false
+		}
+		if s.word.CompareAndSwap(old, word(n, Issued)) {
+			s.expiry.Store(int64(expiry))
+			if r := s.record.Load(); r != nil && r.sequence != n {
+				l.drop(s, r)
+			}
+			l.next.CompareAndSwap(n, n+1)
+			return n, expiry, true
+		}
+	}
+	return 0, 0, false
+}
+
+func reusable(s *slot, w uint64, now clock.Time) bool {
+	switch _, st := unpack(w); st {
+	case Free:
+		return true
+	case Pending, Dispatched:
+		return false
+	default:
+		return s.expiry.Load() <= int64(now)
+	}
+}
+
+// sweep drops the records of up to n expired keys, in order of issue.
+func (l *Ledger) sweep(now clock.Time, n int) {
+	for range n {
+		seq := l.swept.Load()
+		if seq >= l.next.Load() {
+			return
+		}
+		s := l.slot(seq)
+		w := s.word.Load()
+		if at, _ := unpack(w); at == seq {
+			if !reusable(s, w, now) {
+				return
+			}
+			if r := s.record.Load(); r != nil && r.sequence == seq {
+				l.drop(s, r)
+			}
+		}
+		l.swept.CompareAndSwap(seq, seq+1)
+	}
+}
+
+// drop removes a record and gives back its room, once.
+func (l *Ledger) drop(s *slot, r *Record) {
+	if s.record.CompareAndSwap(r, nil) {
+		l.records.Add(-1)
+		l.bytes.Add(-r.held.Swap(0))
+	}
+}
+
+// fullSweep is how many slots are swept when there is no room for a record.
+const fullSweep = 1 << 12
+
+// reserve takes room for one record and its answer.
+func (l *Ledger) reserve(now clock.Time) bool {
+	if l.tryReserve() {
+		return true
+	}
+	l.sweep(now, fullSweep)
+	return l.tryReserve()
+}
+
+func (l *Ledger) tryReserve() bool {
+	if l.records.Add(1) > int64(l.cfg.MaxRecords) {
+		l.records.Add(-1)
+		return false
+	}
+	if l.bytes.Add(int64(l.cfg.MaxAnswer)) > l.cfg.MaxBytes {
+		l.bytes.Add(-int64(l.cfg.MaxAnswer))
+		l.records.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (l *Ledger) unreserve() {
+	l.bytes.Add(-int64(l.cfg.MaxAnswer))
+	l.records.Add(-1)
+}
+
+// Usage is how much of its bounds a ledger uses.
+type Usage struct {
+	Issued  uint64 // keys issued so far
+	Records int64
+	Bytes   int64
+	Running int64
+}
+
+// Usage returns the current use.
+func (l *Ledger) Usage() Usage {
+	return Usage{Issued: l.next.Load() - l.first, Records: l.records.Load(), Bytes: l.bytes.Load(), Running: l.running.Load()}
+}
+
+// Seal stops issuing keys and starting orders. Orders that run go on.
+func (l *Ledger) Seal() {
+	l.sealed.Store(true)
+	l.signal()
+}
+
+// Sealed reports whether the ledger is sealed.
+func (l *Ledger) Sealed() bool { return l.sealed.Load() }
+
+// Idle returns a channel that receives when a sealed ledger has no running order.
+func (l *Ledger) Idle() <-chan struct{} { return l.idle }
+
+func (l *Ledger) stopRun() {
+	if l.running.Add(-1) == 0 {
+		l.signal()
+	}
+}
+
+func (l *Ledger) signal() {
+	if l.sealed.Load() && l.running.Load() == 0 {
+		select {
+		case l.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Expired reports whether every key of an imported ledger has expired.
+func (l *Ledger) Expired(now clock.Time) bool { return l.last <= l.local(now) }
+
+// Left returns how long a key with the given expiry is still valid.
+func (l *Ledger) Left(now, expiry clock.Time) time.Duration { return expiry.Sub(l.local(now)) }
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,178 @@
+package ledger
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/orderkey"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+var small = Config{Window: 4, MaxRecords: 2, MaxBytes: 40, MaxAnswer: 20, KeyLife: time.Minute}
+
+func ran(body string) Answer {
+	return Answer{Verdict: verdict.Ran, Response: &filter.Response{Status: 200, Body: []byte(body)}}
+}
+
+func refused(r verdict.Reason) Answer { return Answer{Verdict: verdict.NotRun, Reason: r} }
+
+// TestStates guards against a wrong answer to a copy of an order in any state.
+func TestStates(t *testing.T) {
+	type step = func(l *Ledger, r *Record)
+	dispatch := func(l *Ledger, r *Record) { l.Dispatch(0, r) }
+	finish := func(a Answer) step { return func(l *Ledger, r *Record) { l.Finish(r, a) } }
+	for name, c := range map[string]struct {
+		steps       []step
+		fingerprint uint64
+		now         clock.Time
+		want        Entry
+		state       State
+	}{
+		"pending":         {nil, 1, 0, EntryJoin, Pending},
+		"dispatched":      {[]step{dispatch}, 1, 0, EntryJoin, Dispatched},
+		"other request":   {[]step{dispatch}, 2, 0, EntryConflict, Dispatched},
+		"ran":             {[]step{dispatch, finish(ran("a"))}, 1, 0, EntryJoin, Done},
+		"ran, other":      {[]step{dispatch, finish(ran("a"))}, 2, 0, EntryConflict, Done},
+		"unknown":         {[]step{dispatch, finish(Answer{})}, 1, 0, EntryJoin, Unknown},
+		"refused":         {[]step{finish(refused(verdict.ReasonOverload))}, 1, 0, EntryRevoked, Revoked},
+		"refused, other":  {[]step{finish(refused(verdict.ReasonOverload))}, 2, 0, EntryRevoked, Revoked},
+		"shed":            {[]step{dispatch, finish(refused(verdict.ReasonShed))}, 1, 0, EntryRevoked, Revoked},
+		"withdrawn":       {[]step{dispatch, func(l *Ledger, r *Record) { l.Withdraw(r) }}, 1, 0, EntryJoin, Pending},
+		"cancelled":       {[]step{func(l *Ledger, r *Record) { l.Cancel(r, refused(verdict.ReasonDeadline)) }}, 1, 0, EntryRevoked, Revoked},
+		"cancelled late":  {[]step{dispatch, func(l *Ledger, r *Record) { l.Cancel(r, refused(verdict.ReasonDeadline)) }}, 1, 0, EntryJoin, Dispatched},
+		"dispatch late":   {[]step{func(l *Ledger, r *Record) { l.Dispatch(clock.Time(time.Minute), r) }}, 1, 0, EntryJoin, Pending},
+		"expired, ran":    {[]step{dispatch, finish(ran("a"))}, 1, clock.Time(time.Minute), EntryExpired, Done},
+		"expired, unrun":  {[]step{finish(refused(verdict.ReasonShed))}, 1, clock.Time(time.Minute), EntryExpired, Revoked},
+		"exported":        {[]step{func(l *Ledger, _ *Record) { l.Export(0, orderkey.Secret{}) }}, 1, 0, EntryRevoked, Revoked},
+		"exported, sent":  {[]step{dispatch, func(l *Ledger, _ *Record) { l.Export(0, orderkey.Secret{}) }}, 1, 0, EntryJoin, Dispatched},
+		"cancel and ends": {[]step{func(l *Ledger, r *Record) { l.Cancel(r, refused(verdict.ReasonDeadline)) }, finish(Answer{})}, 1, 0, EntryRevoked, Revoked},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(small)
+			seq, expiry, ok := l.Issue(0)
+			is.True(ok)
+			e, r := l.Begin(0, seq, expiry, 1)
+			is.Equal(e, EntryRun)
+			for _, s := range c.steps {
+				s(l, r)
+			}
+			got, _ := l.Begin(c.now, seq, expiry, c.fingerprint)
+			is.Equal(got, c.want)
+			is.Equal(l.State(seq), c.state)
+		})
+	}
+}
+
+// TestBounds guards against a ledger that grows without limit, drops a live
+// record, or cannot revoke when it is full.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	l := New(small)
+	var seqs []uint64
+	var expiry clock.Time
+	for range small.Window {
+		seq, e, ok := l.Issue(0)
+		is.True(ok)
+		seqs, expiry = append(seqs, seq), e
+	}
+	_, _, ok := l.Issue(clock.Time(time.Minute) - 1)
+	is.True(!ok) // window full of unexpired keys
+	_, first := l.Begin(0, seqs[0], expiry, 1)
+	is.True(l.Dispatch(0, first))
+	kept := l.Finish(first, ran("0123456789"))
+	is.Equal(string(kept.Response.Body), "0123456789")
+	is.Equal(l.Usage(), Usage{Issued: 4, Records: 1, Bytes: 10})
+	e, second := l.Begin(0, seqs[1], expiry, 1)
+	is.Equal(e, EntryRun)
+	e, _ = l.Begin(0, seqs[2], expiry, 1)
+	is.Equal(e, EntryFull) // third record
+	e, _ = l.Begin(0, seqs[2], expiry, 1)
+	is.Equal(e, EntryRevoked)
+	is.True(l.Dispatch(0, second))
+	large := l.Finish(second, ran("012345678901234567890"))
+	is.Equal(large.Verdict, verdict.Ran)
+	is.Equal(large.Reason, verdict.ReasonNotKept)
+	is.True(large.Response == nil)
+	is.True(l.Revoke(0, seqs[3], expiry))
+	is.True(l.Revoke(0, seqs[3], expiry))  // stays revoked
+	is.True(!l.Revoke(0, seqs[0], expiry)) // it ran
+	late := clock.Time(time.Minute)
+	is.True(!l.Revoke(late, seqs[3], expiry)) // expired
+	for range small.Window {
+		_, _, ok := l.Issue(late)
+		is.True(ok)
+	}
+	is.Equal(l.Usage(), Usage{Issued: 8})
+}
+
+// TestRunningOrderKeepsItsSlot guards against a long run whose slot goes to a new key.
+func TestRunningOrderKeepsItsSlot(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Window: 1, MaxRecords: 9, MaxBytes: 99, MaxAnswer: 9, KeyLife: 1})
+	seq, expiry, _ := l.Issue(0)
+	_, r := l.Begin(0, seq, expiry, 1)
+	is.True(l.Dispatch(0, r))
+	_, _, ok := l.Issue(5)
+	is.True(!ok)
+	l.Finish(r, ran(""))
+	_, _, ok = l.Issue(5)
+	is.True(ok)
+	e, _ := l.Begin(0, seq, expiry, 1) // a request that read the clock long ago
+	is.Equal(e, EntryExpired)
+}
+
+// TestCopiesRace guards against two copies of an order that both run while the
+// key is cancelled, revoked and exported at the same moment, and against a key
+// that runs both here and at the successor.
+func TestCopiesRace(t *testing.T) {
+	is := is.New(t)
+	for range 300 {
+		l := New(Config{Window: 64, MaxRecords: 64, MaxBytes: 1 << 20, MaxAnswer: 64, KeyLife: time.Minute})
+		var dispatched [64]atomic.Int32
+		var seqs [8]uint64
+		var expiry clock.Time
+		for i := range seqs {
+			seqs[i], expiry, _ = l.Issue(0)
+		}
+		run := func(l *Ledger, seq uint64) {
+			e, r := l.Begin(0, seq, expiry, 1)
+			if e != EntryRun {
+				return
+			}
+			a := refused(verdict.ReasonShed)
+			if l.Dispatch(0, r) {
+				dispatched[seq].Add(1)
+				a = ran("x")
+			}
+			l.Finish(r, a)
+		}
+		var wg sync.WaitGroup
+		for i := range 4 {
+			wg.Go(func() {
+				for _, seq := range seqs {
+					run(l, seq)
+				}
+			})
+			wg.Go(func() { l.Revoke(0, seqs[i], expiry); l.Issue(0) })
+		}
+		var payload []byte
+		wg.Go(func() { payload = l.Export(0, orderkey.Secret{}) })
+		wg.Wait()
+		next, _, err := Import(payload, 0, l.cfg)
+		is.NoErr(err)
+		for _, seq := range seqs {
+			wasRevoked := l.State(seq) == Revoked
+			run(next, seq)
+			is.True(dispatched[seq].Load() <= 1) // at most one dispatch per key
+			is.True(!wasRevoked || dispatched[seq].Load() == 0)
+		}
+		is.Equal(l.Usage().Running, int64(0))
+	}
+}
