Rewrite the transport to backend servers

Cause: the first version reused connections that the server had closed, took an answer that ends with the connection for complete, and kept no bound on connections.

Change: each attempt runs on one own connection, which is reused only after a complete answer with an empty read buffer. Idle connections are checked with a non-blocking peek before use and closed after an idle limit. Warm opens connections ahead at a bounded rate within the entry host's share. An answer without a length is not complete, because a crash looks the same.

The stale connection test fails when the peek is taken out.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -5,183 +5,139 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"net"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
 
-// maxIdle is the number of idle connections kept per backend server. Today's
-// servers have at most 6 slots.
-const maxIdle = 8
-
-// Transport implements filter.Transport.
-type Transport struct {
-	hosts   atomic.Pointer[map[string]*host]
-	maxBody int // bytes of an answer's body
-	dial    func(ctx context.Context, address string) (net.Conn, error)
+// Options are the limits of a Transport. Zero values select the defaults.
+type Options struct {
+	MaxBody     int           // bytes of an answer's body; default 8 MiB
+	DialTimeout time.Duration // bound on opening a connection; default 500ms
+	IdleLimit   time.Duration // an idle connection is closed after this; default 30s
+	Connections int           // connections to a server that SetServers did not name; default 250
 }
 
-type host struct {
-	idle [maxIdle]atomic.Pointer[conn]
-}
+// DefaultConnections bounds the connections to one backend server over the
+// fleet. Backend servers accept about 250.
+const DefaultConnections = 250
 
-type conn struct {
-	net.Conn
-	r     *bufio.Reader
-	w     *bufio.Writer
-	first atomic.Bool // a byte of the current request may have left
+func (o *Options) setDefaults() {
+	if o.MaxBody == 0 {
+		o.MaxBody = 8 << 20
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = 500 * time.Millisecond
+	}
+	if o.IdleLimit == 0 {
+		o.IdleLimit = 30 * time.Second
+	}
+	if o.Connections == 0 {
+		o.Connections = DefaultConnections
+	}
 }
 
-// Write implements net.Conn and records that a byte may have left.
-func (c *conn) Write(p []byte) (int, error) {
-	c.first.Store(true)
-	return c.Conn.Write(p)
+// ErrConnections means that this process's share of connections is in use.
+var ErrConnections = errors.New("backend: every connection of this entry host's share is in use")
+
+// Transport implements filter.Transport. Do is safe for concurrent use and
+// takes no lock.
+type Transport struct {
+	options Options
+	hosts   atomic.Pointer[map[string]*host] // replaced as a whole
+	wake    chan struct{}                    // tells Run that Warm or SetServers changed something
+	dialer  net.Dialer
+
+	dials, staleIdle, pruned atomic.Int64
 }
 
-// New returns a transport for answers of at most maxBody bytes.
-func New(maxBody int) *Transport {
-	d := &net.Dialer{}
-	t := &Transport{maxBody: maxBody, dial: func(ctx context.Context, address string) (net.Conn, error) {
-		return d.DialContext(ctx, "tcp", address)
-	}}
+// New returns a transport. Run keeps its idle connections.
+func New(o Options) *Transport {
+	o.setDefaults()
+	t := &Transport{options: o, wake: make(chan struct{}, 1)}
 	t.hosts.Store(&map[string]*host{})
 	return t
 }
 
-func (t *Transport) host(address string) *host {
-	for {
-		old := t.hosts.Load()
-		if h := (*old)[address]; h != nil {
-			return h
-		}
-		next := make(map[string]*host, len(*old)+1)
-		for k, v := range *old {
-			next[k] = v
-		}
-		h := &host{}
-		next[address] = h
-		if t.hosts.CompareAndSwap(old, &next) {
-			return h
-		}
-	}
+// Counts are totals since the start of the process.
+type Counts struct {
+	Dials     int64 // connections opened
+	StaleIdle int64 // idle connections found closed or with unexpected bytes before use
+	Pruned    int64 // idle connections closed by age, share or removal
 }
 
-func (h *host) take() *conn {
-	for i := range h.idle {
-		if c := h.idle[i].Swap(nil); c != nil {
-			return c
-		}
-	}
-	return nil
-}
-
-func (h *host) put(c *conn) {
-	for i := range h.idle {
-		if h.idle[i].CompareAndSwap(nil, c) {
-			return
-		}
-	}
-	_ = c.Close()
+// Counts returns the totals.
+func (t *Transport) Counts() Counts {
+	return Counts{Dials: t.dials.Load(), StaleIdle: t.staleIdle.Load(), Pruned: t.pruned.Load()}
 }
 
-// Do implements filter.Transport. The connection is reused only after a
-// complete answer; in every other case it is closed.
+// Do implements filter.Transport. A connection is reused only after a complete
+// answer with nothing left in its read buffer; in every other case it is closed.
 func (t *Transport) Do(ctx context.Context, a *filter.Attempt) filter.Result {
-	ctx, cancel := context.WithTimeout(ctx, a.Limit)
-	defer cancel()
+	deadline := time.Now().Add(a.Limit)
 	h := t.host(a.Address)
-	c := h.take()
+	c := t.takeIdle(h)
 	if c == nil {
-		raw, err := t.dial(ctx, a.Address)
-		if err != nil {
-			return filter.Result{Facts: verdict.Facts{Cancelled: ctx.Err() != nil}, Err: err}
+		var err error
+		if c, err = t.open(ctx, h, deadline); err != nil {
+			f := verdict.Facts{Cancelled: ctx.Err() == context.Canceled}
+			f.TimedOut = !f.Cancelled && !time.Now().Before(deadline)
+			return filter.Result{Facts: f, Err: err}
 		}
-		c = &conn{Conn: raw}
-		c.r, c.w = bufio.NewReader(c), bufio.NewWriter(c)
 	}
-	res, reuse := t.exchange(ctx, c, a)
-	if reuse {
-		h.put(c)
-	} else {
-		_ = c.Close()
+	res, reuse := t.exchange(ctx, c, a, deadline)
+	if !reuse || !t.keep(h, c) {
+		h.close(c)
 	}
 	return res
 }
 
-func (t *Transport) exchange(ctx context.Context, c *conn, a *filter.Attempt) (filter.Result, bool) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	encode(req, a)
-	c.first.Store(false)
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	res := filter.Result{Facts: verdict.Facts{Connected: true}}
-	if a.BeforeFirstByte != nil {
-		if err := a.BeforeFirstByte(); err != nil {
-			res.Err = err
-			return res, true
+// takeIdle returns an idle connection that the server has not closed, or nil.
+func (t *Transport) takeIdle(h *host) *conn {
+	for {
+		c := h.take()
+		if c == nil {
+			return nil
 		}
-	}
-	start := time.Now()
-	err := req.Write(c.w)
-	if err == nil {
-		err = c.w.Flush()
-	}
-	res.Facts.FirstByte = c.first.Load()
-	if err == nil {
-		res.Facts.Written = true
-		err = resp.ReadLimitBody(c.r, t.maxBody)
-	}
-	res.ServiceTime = time.Since(start)
-	if err != nil {
-		res.Err = err
-		res.Facts.TimedOut = ctx.Err() == context.DeadlineExceeded
-		res.Facts.Cancelled = ctx.Err() == context.Canceled
-		res.Reset = ctx.Err() == nil
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			res.Facts.Answer = verdict.AnswerTooLarge
+		if time.Since(c.idleSince) < t.options.IdleLimit && c.quiet() {
+			return c
 		}
-		return res, false
+		t.staleIdle.Add(1)
+		h.close(c)
 	}
-	res.Response = decode(resp)
-	res.Facts.Answer = verdict.AnswerComplete
-	if res.Response.Status == fasthttp.StatusServiceUnavailable && res.Response.Get(filter.HeaderShed) == "not-run" {
-		res.Facts.Answer = verdict.AnswerShed
-	}
-	return res, stop() && !resp.ConnectionClose()
 }
 
-func encode(req *fasthttp.Request, a *filter.Attempt) {
-	r := a.Request
-	req.Header.SetMethod(r.Method)
-	uri := r.Path
-	if r.Query != "" {
-		uri += "?" + r.Query
+// open opens a connection within this process's share of connections.
+func (t *Transport) open(ctx context.Context, h *host, deadline time.Time) (*conn, error) {
+	if h.open.Add(1) > h.limit.Load() {
+		h.open.Add(-1)
+		return nil, ErrConnections
+	}
+	if limit := time.Now().Add(t.options.DialTimeout); limit.Before(deadline) {
+		deadline = limit
 	}
-	req.Header.SetRequestURI(uri)
-	for _, h := range r.Headers {
-		req.Header.Add(h.Name, h.Value)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	raw, err := t.dialer.DialContext(ctx, "tcp", h.address)
+	if err != nil {
+		h.open.Add(-1)
+		return nil, err
 	}
-	req.Header.SetHost(r.Host)
-	req.Header.Set(filter.HeaderDeadline, strconv.FormatInt(a.Remaining.Milliseconds(), 10))
-	req.Header.Set(filter.HeaderRetryBudget, "0")
-	req.SetBodyRaw(r.Body)
+	t.dials.Add(1)
+	return newConn(raw), nil
 }
 
-func decode(resp *fasthttp.Response) *filter.Response {
-	out := &filter.Response{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
-	for k, v := range resp.Header.All() {
-		out.Headers = append(out.Headers, filter.Header{Name: string(k), Value: string(v)})
+// keep stores c for reuse. It returns false when the connection must be closed.
+func (t *Transport) keep(h *host, c *conn) bool {
+	if c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		return false
 	}
-	return out
+	c.idleSince = time.Now()
+	return h.put(c)
 }
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -52,7 +52,7 @@
 		filters.Route{},
 		filters.Selection{},
 		&filters.Admission{Clock: clk, Admitter: p},
-		&filters.Dispatch{Clock: clk, Admitter: p, Transport: backend.New(maxAnswerBytes)},
+		&filters.Dispatch{Clock: clk, Admitter: p, Transport: backend.New(backend.Options{MaxBody: maxAnswerBytes})},
 	)
 	return &EntryHost{
 		log: log, settings: s, store: store, pools: p, listener: l,
