Harden the listener for callers

Cause: fiber ran the middleware, and with it the chain, on the part of a request that was read before an error; its errors carried no verdict; the path was decoded before it was forwarded; a caller that left was not noticed.

Change: read errors are answered without the router, with verdict and reason. Framing that two servers can read differently and paths with empty or dot segments are refused. Headers named in Connection and own headers are removed in both directions. A watch on the caller's socket in the runtime's poller ends idempotent work when the caller leaves. Connections beyond the limit get an answer. Keys are issued through KeyIssuer. filter.RefuseUnread holds the rule that only the owner of a key says not run.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -56,7 +56,7 @@
 	)
 	return &EntryHost{
 		log: log, settings: s, store: store, pools: p, listener: l,
-		front: front.New(s, chain, store, clk, counters),
+		front: front.New(front.Options{Settings: s, Chain: chain, Store: store, Clock: clk, Counters: counters}, l),
 	}, nil
 }
 
@@ -72,7 +72,7 @@
 // Run serves until ctx ends, then stops gracefully.
 func (e *EntryHost) Run(ctx context.Context) error {
 	e.wg.Go(func() {
-		if err := e.front.Serve(e.listener); err != nil {
+		if err := e.front.Serve(); err != nil {
 			e.log.Named("front").Error("Listener failed.", zap.Error(err))
 		}
 	})
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -99,6 +99,18 @@
 	return Outcome{Verdict: verdict.MayHaveRun, Reason: r, Cause: cause}
 }
 
+// RefuseUnread returns the outcome of a request that did not get as far as the
+// chain, or as far as the owner of its order key. Such a request did not run,
+// but an earlier one with the same key may have, and only the owner of the key
+// can say "not run". headersRead is false when it is unknown whether the
+// request has a key.
+func RefuseUnread(headersRead bool, key string, r verdict.Reason, cause error) Outcome {
+	if headersRead && key == "" {
+		return Refuse(r, cause)
+	}
+	return Unknown(r, cause)
+}
+
 // Handler handles a request, or what is left of it after the filters before.
 type Handler interface {
 	Handle(ctx context.Context, x *Exchange) Outcome
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -17,97 +19,112 @@
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
 
+// KeyIssuer issues order keys. Errors are *verdict.Error.
+type KeyIssuer interface {
+	Issue(n int) ([]string, error)
+}
+
+// Options are what a Front is built from.
+type Options struct {
+	Settings *settings.Settings
+	Chain    filter.Handler
+	Keys     KeyIssuer // nil: order keys are not offered
+	Store    *state.Store
+	Clock    clock.Clock
+	Counters *metrics.Counters
+	TLS      *tls.Config // nil: plain HTTP
+}
+
 // Front serves callers.
 type Front struct {
+	Options
 	app      *fiber.App
-	chain    filter.Handler
-	store    *state.Store
-	clock    clock.Clock
-	counters *metrics.Counters
+	listener *listener
 }
 
-// New returns a front end that runs chain.
-func New(s *settings.Settings, chain filter.Handler, store *state.Store, c clock.Clock, m *metrics.Counters) *Front {
-	f := &Front{chain: chain, store: store, clock: c, counters: m}
+// New returns a front end that serves callers on l.
+func New(o Options, l net.Listener) *Front {
+	s := o.Settings
+	f := &Front{Options: o}
+	f.listener = newListener(l, int64(s.MaxConnections), o.Counters.Int("front.connections_refused"))
 	f.app = fiber.New(fiber.Config{
-		BodyLimit: s.MaxBodyBytes, ReadBufferSize: s.MaxHeaderBytes, Concurrency: s.MaxConnections,
+		BodyLimit: s.MaxBodyBytes, ReadBufferSize: s.MaxHeaderBytes,
+		// The listener bounds connections, with an answer that carries a
+		// verdict; fasthttp's own limit must stay out of reach.
+		Concurrency: s.MaxConnections + refusing + 1,
 		IdleTimeout: time.Duration(s.IdleTimeout), ReadTimeout: time.Duration(s.ReadTimeout),
-		AppName: "anvilfront",
+		DisableDefaultContentType: true, DisableDefaultDate: true, DisablePreParseMultipartForm: true,
+		ErrorHandler: f.fiberError, AppName: "anvilfront",
 	})
+	// fiber's handler of read errors would run the middleware, and with it the
+	// chain, on the part of a request that was read.
+	f.app.Server().ErrorHandler = f.readError
+	f.app.Server().CloseOnShutdown = true
+	f.app.Server().Handler = f.marked(f.app.Server().Handler)
+	f.app.Post("/.anvilfront/order-keys", f.issue)
 	f.app.Use(f.handle)
 	return f
 }
 
-// Serve serves callers on l until Shutdown.
-func (f *Front) Serve(l net.Listener) error {
+// Serve serves callers until Shutdown.
+func (f *Front) Serve() error {
+	var l net.Listener = f.listener
+	if f.TLS != nil {
+		l = tls.NewListener(l, f.TLS)
+	}
 	return f.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
-// Shutdown stops accepting and waits for requests in flight until ctx ends.
-func (f *Front) Shutdown(ctx context.Context) error { return f.app.ShutdownWithContext(ctx) }
-
-func (f *Front) handle(c fiber.Ctx) error {
-	x := &filter.Exchange{Snapshot: f.store.Load(), Request: copyRequest(c), Arrived: f.clock.Now()}
-	x.Key = x.Request.Get(filter.HeaderOrderKey)
-	x.Nested = x.Request.Get(filter.HeaderRetryBudget) != ""
-	out := f.chain.Handle(c.RequestCtx(), x)
-	f.count(out)
-	return write(c, out)
-}
-
-func (f *Front) count(out filter.Outcome) {
-	f.counters.Verdict(out.Verdict)
-	if out.Response == nil {
-		f.counters.Refusal(out.Reason)
-	}
+// Shutdown stops accepting and waits until every answer is written or ctx ends.
+// Then it closes what is left.
+func (f *Front) Shutdown(ctx context.Context) error {
+	err := f.app.ShutdownWithContext(ctx)
+	f.listener.closeAll()
+	return err
 }
 
-func copyRequest(c fiber.Ctx) *filter.Request {
+func (f *Front) handle(c fiber.Ctx) error {
+	arrived := f.Clock.Now()
 	raw := c.Request()
-	r := &filter.Request{
-		Method: string(raw.Header.Method()), Host: string(raw.Host()),
-		Path: string(raw.URI().Path()), Query: string(raw.URI().QueryString()),
-		Body: append([]byte(nil), raw.Body()...),
+	if err := checkFraming(&raw.Header); err != nil {
+		raw.Header.SetConnectionClose()
+		c.Response().SetConnectionClose()
+		return f.refuse(c.RequestCtx(), filter.RefuseUnread(true, string(raw.Header.Peek(filter.HeaderOrderKey)), verdict.ReasonBadRequest, err), 0)
 	}
-	for k, v := range raw.Header.All() {
-		if name := string(k); !hopByHop[name] {
-			r.Headers = append(r.Headers, filter.Header{Name: name, Value: string(v)})
-		}
+	r, err := copyRequest(raw)
+	if err != nil {
+		return f.refuse(c.RequestCtx(), filter.RefuseUnread(true, r.Get(filter.HeaderOrderKey), verdict.ReasonBadRequest, err), 0)
 	}
-	return r
-}
-
-// hopByHop are the headers that end at a proxy (RFC 9110, 7.6.1), and those
-// that are written anew.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Host": true, "Expect": true,
-}
-
-func write(c fiber.Ctx, out filter.Outcome) error {
-	c.Set(filter.HeaderVerdict, out.Verdict.String())
-	c.Set(filter.HeaderReason, out.Reason.String())
-	if out.FreshKey != "" {
-		c.Set(filter.HeaderOrderKey, out.FreshKey)
+	x := &filter.Exchange{Snapshot: f.Store.Load(), Request: r, Arrived: arrived}
+	x.Key = r.Get(filter.HeaderOrderKey)
+	x.Nested = r.Get(filter.HeaderRetryBudget) != ""
+	out := f.run(c, x)
+	f.Counters.Verdict(out.Verdict)
+	if want := r.Get(filter.HeaderWantKeys); want != "" {
+		f.addKeys(c, want)
 	}
 	if out.Response == nil {
-		return c.Status(refusalStatus(out)).SendString(out.Reason.Help() + "\n")
+		return f.refuse(c.RequestCtx(), out, 0)
 	}
-	resp := c.Response()
-	for _, h := range out.Response.Headers {
-		if !hopByHop[h.Name] {
-			resp.Header.Add(h.Name, h.Value)
-		}
-	}
-	resp.Header.Set("Content-Type", out.Response.Get("Content-Type"))
-	c.Status(out.Response.Status)
-	resp.SetBodyRaw(out.Response.Body)
-	return nil
+	writeMarks(c.Response(), out)
+	return writeResponse(c, out.Response)
 }
 
-func refusalStatus(out filter.Outcome) int {
-	if out.Reason == verdict.ReasonNone {
-		return fiber.StatusInternalServerError
+// run runs the chain with a context that ends when the caller goes away. It
+// does not derive from fasthttp's context, which ends when a graceful shutdown
+// begins.
+func (f *Front) run(c fiber.Ctx, x *filter.Exchange) (out filter.Outcome) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if conn := underlying(c.RequestCtx().Conn()); conn != nil {
+		w := conn.watch(cancel)
+		defer w.stop()
 	}
-	return out.Reason.Status()
+	defer func() {
+		if p := recover(); p != nil {
+			f.Counters.Int("front.panics").Add(1)
+			out = filter.Unknown(verdict.ReasonInternal, errors.Errorf("panic: %v", p))
+		}
+	}()
+	return f.Chain.Handle(ctx, x)
 }
