Add retry, hedging and stopping filters; complete dispatch

Cause: refused and failed attempts were never repeated, and the first byte could leave after a pause or after the lease of the grant ended.

Change: retry decides by verdict, reason, route and budget in a pure function. A token bucket filled by requests keeps retries a share of a route's requests. Hedging sends a second copy of idempotent requests within HedgePercent after an estimate of the 95th percentile. Stopping counts requests in the chain and refuses new ones. Dispatch checks freshness, lease, grant and deadline right before the first byte.

Result: property test over decideRetry; it fails when the rule for orders that may have run is taken out. 1,000 refused requests at 10% cause 100 retries.

--- /dev/null
+++ b/internal/filters/budget.go
@@ -0,0 +1,63 @@
+package filters
+
+import (
+	"maps"
+	"sync/atomic"
+)
+
+// budgetBurst is how many retries a budget can save up. It lets a route with
+// few requests retry at all.
+const budgetBurst = 10
+
+const budgetUnit = 1000 // parts of one token
+
+// budget is a token bucket filled by requests: each request adds a share of a
+// token and each retry takes one, so that retries stay a fraction of requests
+// at any rate. The zero value is empty.
+type budget struct{ parts atomic.Int64 }
+
+// earn adds percent/100 of a token.
+func (b *budget) earn(percent float64) {
+	add := int64(percent / 100 * budgetUnit)
+	for {
+		old := b.parts.Load()
+		next := min(old+add, budgetBurst*budgetUnit)
+		if next == old || b.parts.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// spend takes one token and returns false when there is none.
+func (b *budget) spend() bool {
+	for {
+		old := b.parts.Load()
+		if old < budgetUnit {
+			return false
+		}
+		if b.parts.CompareAndSwap(old, old-budgetUnit) {
+			return true
+		}
+	}
+}
+
+// table maps names to values that are created on first use. Reads take one
+// atomic load; the map is copied when a name is new.
+type table[T any] struct{ p atomic.Pointer[map[string]*T] }
+
+func (t *table[T]) get(name string) *T {
+	for {
+		old := t.p.Load()
+		if old != nil {
+			if v := (*old)[name]; v != nil {
+				return v
+			}
+		}
+		next := map[string]*T{}
+		if old != nil {
+			next = maps.Clone(*old)
+		}
+		next[name] = new(T)
+		t.p.CompareAndSwap(old, &next)
+	}
+}
--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
 
@@ -17,6 +18,10 @@
 	Clock     clock.Clock
 	Admitter  filter.Admitter
 	Transport filter.Transport
+	Store     *state.Store
+	// Fresh reports whether this process may send new work. It is false after a
+	// pause, until the state is refreshed.
+	Fresh func() bool
 }
 
 // Name implements filter.Filter.
@@ -26,11 +31,14 @@
 func (d *Dispatch) Handle(ctx context.Context, x *filter.Exchange, _ filter.Handler) filter.Outcome {
 	g := x.Grant
 	x.Tried = append(x.Tried, g.Server.Name)
-	limit := x.Deadline.Sub(d.Clock.Now())
+	limit := min(x.Deadline.Sub(d.Clock.Now()), time.Duration(x.Service.RunLimit))
 	if !x.Route.Idempotent {
-		// A caller that goes away does not cancel an order.
+		// A caller that goes away does not cancel an order. The answer of a
+		// keyed order is kept for its caller also after the deadline.
 		ctx = context.WithoutCancel(ctx)
-		limit = time.Duration(x.Service.RunLimit)
+		if x.Key != "" {
+			limit = time.Duration(x.Service.RunLimit)
+		}
 	}
 	refusal := verdict.ReasonNone
 	res := d.Transport.Do(ctx, &filter.Attempt{
@@ -58,10 +66,14 @@
 func (d *Dispatch) check(x *filter.Exchange) (verdict.Reason, error) {
 	now := d.Clock.Now()
 	switch {
+	case !d.Fresh():
+		return refuseDispatch(verdict.ReasonResync)
+	case !d.leased(x.Grant, now):
+		return refuseDispatch(verdict.ReasonNoLease)
 	case !now.Before(x.Grant.StartBy):
-		return verdict.ReasonGrantExpired, verdict.New(verdict.NotRun, verdict.ReasonGrantExpired, nil)
+		return refuseDispatch(verdict.ReasonGrantExpired)
 	case !now.Before(x.Deadline):
-		return verdict.ReasonDeadline, verdict.New(verdict.NotRun, verdict.ReasonDeadline, nil)
+		return refuseDispatch(verdict.ReasonDeadline)
 	case x.BeforeDispatch != nil:
 		if err := x.BeforeDispatch(); err != nil {
 			return verdict.From(err).Reason, err
@@ -70,9 +82,25 @@
 	return verdict.ReasonNone, nil
 }
 
+func refuseDispatch(r verdict.Reason) (verdict.Reason, error) {
+	return r, verdict.New(verdict.NotRun, r, nil)
+}
+
+// leased reports whether the lease behind a grant of this process is still in
+// force. A grant of another holder is bounded by StartBy, and one with ID 0 is
+// under the limit that needs no lease.
+func (d *Dispatch) leased(g *filter.Grant, now clock.Time) bool {
+	s := d.Store.Load()
+	if g.ID == 0 || g.Holder != s.Members.Self.Name {
+		return true
+	}
+	held := s.Leases.Held[g.Pool.ID]
+	return held != nil && held.Valid(now)
+}
+
 func report(v verdict.Verdict, reason verdict.Reason, res *filter.Result) filter.Report {
 	r := filter.Report{Verdict: v, Reason: reason, ServiceTime: res.ServiceTime, Crashed: res.Reset, Inflight: -1}
-	r.Failed = v == verdict.MayHaveRun
+	r.Failed = v == verdict.MayHaveRun && reason != verdict.ReasonCallerGone || reason == verdict.ReasonConnectFailed
 	if res.Response != nil {
 		r.Failed = r.Failed || res.Response.Status >= 500 && v == verdict.Ran
 		r.Instance = res.Response.Get(filter.HeaderInstance)
--- /dev/null
+++ b/internal/filters/dispatch_test.go
@@ -0,0 +1,117 @@
+package filters
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+type ports struct {
+	facts    verdict.Facts
+	attempt  *filter.Attempt
+	ctx      context.Context
+	reports  []filter.Report
+	response *filter.Response
+}
+
+func (p *ports) Acquire(context.Context, *manifest.Pool, filter.Ask) (*filter.Grant, error) {
+	return nil, nil
+}
+
+func (p *ports) Release(_ *filter.Grant, r filter.Report) { p.reports = append(p.reports, r) }
+
+func (p *ports) Do(ctx context.Context, a *filter.Attempt) filter.Result {
+	p.attempt, p.ctx = a, ctx
+	if err := a.BeforeFirstByte(); err != nil {
+		return filter.Result{Facts: verdict.Facts{Connected: true}, Err: err}
+	}
+	return filter.Result{Facts: p.facts, Response: p.response, ServiceTime: time.Millisecond}
+}
+
+// TestDispatchChecks guards against a first byte that leaves after the grant,
+// the lease, the deadline or the state of this process ran out, and against a
+// grant that is not released.
+func TestDispatchChecks(t *testing.T) {
+	pool := &manifest.Pool{ID: manifest.PoolID{Service: "s"}}
+	complete := verdict.Facts{Connected: true, FirstByte: true, Written: true, Answer: verdict.AnswerComplete}
+	cases := []struct {
+		name    string
+		change  func(d *Dispatch, x *filter.Exchange)
+		verdict verdict.Verdict
+		reason  verdict.Reason
+	}{
+		{"sent", func(*Dispatch, *filter.Exchange) {}, verdict.Ran, verdict.ReasonNone},
+		{"paused", func(d *Dispatch, _ *filter.Exchange) { d.Fresh = func() bool { return false } }, verdict.NotRun, verdict.ReasonResync},
+		{"grant late", func(_ *Dispatch, x *filter.Exchange) { x.Grant.StartBy = 5 }, verdict.NotRun, verdict.ReasonGrantExpired},
+		{"deadline passed", func(_ *Dispatch, x *filter.Exchange) { x.Deadline = 5 }, verdict.NotRun, verdict.ReasonDeadline},
+		{"lease over", func(d *Dispatch, _ *filter.Exchange) { d.Store.Load().Leases.Held[pool.ID].Until.Store(5) }, verdict.NotRun, verdict.ReasonNoLease},
+		{"lease over, other holder", func(d *Dispatch, x *filter.Exchange) {
+			x.Grant.Holder = "eh2"
+			d.Store.Load().Leases.Held[pool.ID].Until.Store(5)
+		}, verdict.Ran, verdict.ReasonNone},
+		{"not recorded", func(_ *Dispatch, x *filter.Exchange) {
+			x.BeforeDispatch = func() error { return verdict.New(verdict.NotRun, verdict.ReasonLedgerFull, nil) }
+		}, verdict.NotRun, verdict.ReasonLedgerFull},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clk := &clock.Manual{}
+			clk.Set(5)
+			store := state.NewStore(state.Member{Name: "eh1"})
+			held := &state.HeldLease{Pool: pool.ID}
+			held.Until.Store(6)
+			store.Load().Leases.Held[pool.ID] = held
+			p := &ports{facts: complete, response: &filter.Response{Status: 200, Headers: []filter.Header{{Name: filter.HeaderLoad, Value: "3/6"}}}}
+			d := &Dispatch{Clock: clk, Admitter: p, Transport: p, Store: store, Fresh: func() bool { return true }}
+			x := exchange(false)
+			x.Grant = &filter.Grant{ID: 1, Pool: pool, Holder: "eh1", StartBy: 6, Server: &manifest.BackendServer{Name: "b1"}}
+			c.change(d, x)
+			out := d.Handle(context.Background(), x, nil)
+			is.Equal(out.Verdict, c.verdict)
+			is.Equal(out.Reason, c.reason)
+			is.Equal(len(p.reports), 1)
+			is.Equal(x.Tried, []string{"b1"})
+		})
+	}
+}
+
+// TestDispatchLimits guards against an order that is cancelled by its caller or
+// cut at the caller's deadline although its answer is kept, and against an
+// idempotent request that outlives its slot.
+func TestDispatchLimits(t *testing.T) {
+	for _, c := range []struct {
+		idempotent, keyed, cancelled bool
+		limit                        time.Duration
+	}{
+		{true, false, true, time.Second},
+		{false, false, false, time.Second},
+		{false, true, false, 3 * time.Second},
+	} {
+		is := is.New(t)
+		p := &ports{facts: verdict.Facts{Connected: true, FirstByte: true, Written: true, TimedOut: true}}
+		d := &Dispatch{Clock: &clock.Manual{}, Admitter: p, Transport: p, Store: state.NewStore(state.Member{}), Fresh: func() bool { return true }}
+		x := exchange(c.idempotent)
+		x.Service.RunLimit = manifest.Duration(3 * time.Second)
+		if c.keyed {
+			x.Key = "key"
+		}
+		x.Grant = &filter.Grant{StartBy: 1, Server: &manifest.BackendServer{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		out := d.Handle(ctx, x, nil)
+		is.Equal(out.Verdict, verdict.MayHaveRun)
+		is.Equal(p.ctx.Err() != nil, c.cancelled)
+		is.Equal(p.attempt.Limit, c.limit)
+		is.Equal(p.attempt.Remaining, time.Second)
+		is.True(p.reports[0].Failed)
+	}
+}
--- /dev/null
+++ b/internal/filters/hedge.go
@@ -0,0 +1,127 @@
+package filters
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+const (
+	// hedgeQuantile is the share of a service's attempts that end before a
+	// second copy is sent.
+	hedgeQuantile = 0.95
+	// hedgeMin is the shortest wait before a second copy is sent.
+	hedgeMin = 2 * time.Millisecond
+)
+
+// hedge holds the budget of second copies and the latency estimate of a service.
+type hedge struct {
+	budget
+	estimate atomic.Int64 // nanoseconds; 0 until the first observation
+}
+
+// observe moves the estimate towards hedgeQuantile of the observed times: up
+// by a large step when d is above it, down by a small one when below. A lost
+// update between two threads is one lost observation.
+func (h *hedge) observe(d time.Duration) {
+	old := h.estimate.Load()
+	if old == 0 {
+		h.estimate.CompareAndSwap(0, int64(d))
+		return
+	}
+	step := old / 20
+	if int64(d) > old {
+		h.estimate.CompareAndSwap(old, old+int64(float64(step)*hedgeQuantile)+1)
+	} else {
+		h.estimate.CompareAndSwap(old, max(1, old-int64(float64(step)*(1-hedgeQuantile))))
+	}
+}
+
+// wait returns how long to wait before a second copy is sent. The margin above
+// the estimate keeps copies from being sent where all times are alike.
+func (h *hedge) wait() time.Duration {
+	estimate := time.Duration(h.estimate.Load())
+	return max(estimate+estimate/4, hedgeMin)
+}
+
+// attempt runs the rest of the chain once, with a second copy for an idempotent
+// request that takes long, if the service allows hedging.
+func (f *Retry) attempt(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
+	if x.Service.HedgePercent <= 0 || !x.Route.Idempotent || x.Nested {
+		return next.Handle(ctx, x)
+	}
+	h := f.hedges.get(x.Service.Name)
+	h.earn(x.Service.HedgePercent)
+	start := f.Clock.Now()
+	out := f.race(ctx, x, next, h)
+	if out.Verdict == verdict.Ran {
+		h.observe(f.Clock.Now().Sub(start))
+	}
+	return out
+}
+
+type finish struct {
+	x   *filter.Exchange
+	out filter.Outcome
+}
+
+// race runs one copy, and a second one when the first takes long. The first
+// complete answer wins and the other copy is cancelled.
+func (f *Retry) race(ctx context.Context, x *filter.Exchange, next filter.Handler, h *hedge) filter.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan finish, 2)
+	var sentTo atomic.Pointer[string] // backend server of the first copy, once it is dispatched
+	first := *x
+	first.BeforeDispatch = func() error {
+		sentTo.Store(&first.Grant.Server.Name)
+		if x.BeforeDispatch != nil {
+			return x.BeforeDispatch()
+		}
+		return nil
+	}
+	go runCopy(ctx, &first, next, results)
+	timer := time.NewTimer(h.wait())
+	defer timer.Stop()
+	running := 1
+	var last finish
+	for running > 0 {
+		select {
+		case last = <-results:
+			running--
+			if last.out.Verdict == verdict.Ran {
+				x.Tried = last.x.Tried
+				return last.out
+			}
+		case <-timer.C:
+			server := sentTo.Load()
+			if server == nil || h.estimate.Load() == 0 || !h.spend() {
+				continue
+			}
+			second := *x
+			second.Pool, second.Grant = nil, nil
+			second.Tried = append(append([]string(nil), x.Tried...), *server)
+			f.Counters.Retry(verdict.ReasonHedge)
+			running++
+			go runCopy(ctx, &second, next, results)
+		}
+	}
+	x.Tried = last.x.Tried
+	return last.out
+}
+
+func runCopy(ctx context.Context, x *filter.Exchange, next filter.Handler, results chan<- finish) {
+	done := finish{x: x, out: filter.Unknown(verdict.ReasonInternal, nil)}
+	defer func() {
+		if p := recover(); p != nil {
+			done.out.Cause = errors.Errorf("panic: %v", p)
+		}
+		results <- done
+	}()
+	done.out = next.Handle(ctx, x)
+}
--- /dev/null
+++ b/internal/filters/retry.go
@@ -0,0 +1,71 @@
+package filters
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// Retry runs the rest of the chain again, by verdict, route and budget only.
+type Retry struct {
+	Clock    clock.Clock
+	Counters *metrics.Counters
+	budgets  table[budget] // by route name
+	hedges   table[hedge]  // by service name
+}
+
+// Name implements filter.Filter.
+func (*Retry) Name() string { return "retry" }
+
+// Handle implements filter.Filter.
+func (f *Retry) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
+	b := f.budgets.get(x.Route.Name)
+	b.earn(x.Route.RetryPercent)
+	for done := 0; ; done++ {
+		out := f.attempt(ctx, x, next)
+		if out.Verdict == verdict.Ran {
+			return out
+		}
+		wait, again := decideRetry(retryInput{
+			Verdict: out.Verdict, Reason: out.Reason, Idempotent: x.Route.Idempotent, Nested: x.Nested,
+			Allowed: x.Route.Retries, Done: done, Left: x.Deadline.Sub(f.Clock.Now()),
+		}, random)
+		if !again {
+			return out
+		}
+		if !b.spend() {
+			f.Counters.Refusal(verdict.ReasonRetryBudget)
+			return out
+		}
+		if !sleep(ctx, wait) {
+			return out
+		}
+		f.Counters.Retry(out.Reason)
+		x.Pool, x.Grant = nil, nil
+	}
+}
+
+// random draws from the runtime's per-thread generators, which need no lock.
+var random = rand.New(source{})
+
+type source struct{}
+
+// Uint64 implements rand.Source.
+func (source) Uint64() uint64 { return rand.Uint64() }
+
+// sleep waits for d and returns false when ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/filters/retry_test.go
@@ -0,0 +1,180 @@
+package filters
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// TestRetryPolicy guards against an order that is sent again although it may
+// have run, retries that multiply along call chains, and waits past the deadline.
+func TestRetryPolicy(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		in := retryInput{
+			Verdict:    verdict.Verdict(rapid.IntRange(0, 2).Draw(rt, "verdict")),
+			Reason:     verdict.Reason(rapid.IntRange(0, int(verdict.NumReasons)-1).Draw(rt, "reason")),
+			Idempotent: rapid.Bool().Draw(rt, "idempotent"),
+			Nested:     rapid.Bool().Draw(rt, "nested"),
+			Allowed:    rapid.IntRange(0, 4).Draw(rt, "allowed"),
+			Done:       rapid.IntRange(0, 70).Draw(rt, "done"),
+			Left:       time.Duration(rapid.Int64Range(-1e9, 1e9).Draw(rt, "left")),
+		}
+		seed := rapid.Uint64().Draw(rt, "seed")
+		wait, again := decideRetry(in, rand.New(rand.NewPCG(seed, 1)))
+		if !again {
+			return
+		}
+		switch {
+		case in.Verdict == verdict.Ran:
+			rt.Fatalf("sent again after it ran: %+v", in)
+		case !in.Idempotent && in.Verdict != verdict.NotRun:
+			rt.Fatalf("an order that may have run was sent again: %+v", in)
+		case in.Nested && (in.Verdict == verdict.MayHaveRun || in.Reason == verdict.ReasonShed):
+			rt.Fatalf("a nested request was sent again after dispatch: %+v", in)
+		case in.Done >= in.Allowed:
+			rt.Fatalf("more retries than the route allows: %+v", in)
+		case wait < 0 || wait >= in.Left || wait > 2*retryMax:
+			rt.Fatalf("wait %v with %v left: %+v", wait, in.Left, in)
+		}
+	})
+}
+
+func exchange(idempotent bool) *filter.Exchange {
+	return &filter.Exchange{
+		Request:  &filter.Request{},
+		Route:    &manifest.Route{Name: "r", Idempotent: idempotent, Retries: 3, RetryPercent: 100},
+		Service:  &manifest.Service{Name: "s", RunLimit: manifest.Duration(time.Second)},
+		Deadline: clock.Time(time.Second),
+	}
+}
+
+// TestRetryBudget guards against retries beyond the route's share of requests,
+// and against a retry that keeps the pool and grant of the attempt before.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &Retry{Clock: &clock.Manual{}, Counters: metrics.New()}
+		attempts := 0
+		h := filter.Chain(f, handler(func(_ context.Context, x *filter.Exchange) filter.Outcome {
+			attempts++
+			is.True(x.Pool == nil && x.Grant == nil) // chosen anew for each attempt
+			x.Pool, x.Grant = &manifest.Pool{}, &filter.Grant{}
+			return filter.Refuse(verdict.ReasonShed, nil)
+		}))
+		const requests = 1000
+		for range requests {
+			x := exchange(false)
+			x.Route.RetryPercent = 10
+			out := h.Handle(context.Background(), x)
+			is.Equal(out.Reason, verdict.ReasonShed)
+		}
+		is.Equal(attempts, requests+requests/10)
+		is.Equal(f.Counters.Retries(verdict.ReasonShed), int64(requests/10))
+	})
+}
+
+// TestRetryStopsWithCaller guards against retries for a caller that went away.
+func TestRetryStopsWithCaller(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	attempts := 0
+	f := &Retry{Clock: &clock.Manual{}, Counters: metrics.New()}
+	filter.Chain(f, handler(func(context.Context, *filter.Exchange) filter.Outcome {
+		attempts++
+		return filter.Refuse(verdict.ReasonConnectFailed, nil)
+	})).Handle(ctx, exchange(true))
+	is.Equal(attempts, 1)
+}
+
+type handler filter.HandlerFunc
+
+func (handler) Name() string { return "test" }
+
+func (h handler) Handle(ctx context.Context, x *filter.Exchange, _ filter.Handler) filter.Outcome {
+	return h(ctx, x)
+}
+
+// TestHedge guards against a second copy of an order, a copy before the first
+// is dispatched, a loser that runs on, and copies beyond the budget.
+func TestHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &Retry{Clock: clock.NewMonotonic(), Counters: metrics.New()}
+		var slow atomic.Bool
+		var copies, cancelled atomic.Int64
+		h := filter.Chain(f, handler(func(ctx context.Context, x *filter.Exchange) filter.Outcome {
+			copies.Add(1)
+			x.Grant = &filter.Grant{Server: &manifest.BackendServer{Name: "b1"}}
+			first := len(x.Tried) == 0
+			if x.BeforeDispatch != nil {
+				_ = x.BeforeDispatch()
+			}
+			if first && slow.Load() {
+				select {
+				case <-ctx.Done():
+					cancelled.Add(1)
+					return filter.Unknown(verdict.ReasonCallerGone, nil)
+				case <-time.After(time.Second):
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+			return filter.Outcome{Verdict: verdict.Ran}
+		}))
+		run := func(idempotent bool, n int) {
+			for range n {
+				x := exchange(idempotent)
+				x.Service.HedgePercent = 10
+				is.Equal(h.Handle(context.Background(), x).Verdict, verdict.Ran)
+			}
+		}
+		run(true, 50) // learns the usual time and saves up 5 copies
+		is.Equal(copies.Load(), int64(50))
+		slow.Store(true)
+		run(true, 20)
+		synctest.Wait()
+		hedged := f.Counters.Retries(verdict.ReasonHedge)
+		is.Equal(hedged, int64(7)) // 10% of 70 requests
+		is.Equal(cancelled.Load(), hedged)
+		run(false, 5)
+		is.Equal(copies.Load(), 75+hedged) // orders have one copy
+	})
+}
+
+// TestStopping guards against a stop that cuts a request in the chain, and
+// against "not run" for a key whose owner was not asked.
+func TestStopping(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewStopping()
+		h := filter.Chain(s, handler(func(context.Context, *filter.Exchange) filter.Outcome {
+			time.Sleep(time.Second)
+			return filter.Outcome{Verdict: verdict.Ran}
+		}))
+		done := make(chan filter.Outcome, 1)
+		go func() { done <- h.Handle(context.Background(), exchange(true)) }()
+		synctest.Wait()
+		s.Stop()
+		is.Equal(s.Inflight(), int64(1))
+		is.Equal(h.Handle(context.Background(), exchange(true)).Verdict, verdict.NotRun)
+		keyed := exchange(false)
+		keyed.Key = "key"
+		is.Equal(h.Handle(context.Background(), keyed).Verdict, verdict.MayHaveRun)
+		start := time.Now()
+		is.NoErr(s.Drain(context.Background()))
+		is.Equal(time.Since(start), time.Second)
+		is.Equal((<-done).Verdict, verdict.Ran)
+	})
+}
