Extend the fake backend server and use the new filters

Cause: tests and the demo need servers that fail in every way the platform does, and a count of orders that ran twice. The new filters were not in the chain.

Change: slots, service times, cold start, drain, shed, crash, late, cut and wrong-length answers, noticed cancellation, lying or lagging load and health endpoints, restarts as a new instance, and a shared record of Order-Id. The entry host runs retry and stopping and drains before it ends.

Result: table test of each behaviour through the transport and the end-to-end test pass with the race detector.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -28,13 +28,15 @@
 
 // EntryHost is one running entry host.
 type EntryHost struct {
-	log      *zap.Logger
-	settings *settings.Settings
-	store    *state.Store
-	pools    *pools.Controller
-	front    *front.Front
-	listener net.Listener
-	wg       conc.WaitGroup
+	log       *zap.Logger
+	settings  *settings.Settings
+	store     *state.Store
+	pools     *pools.Controller
+	front     *front.Front
+	listener  net.Listener
+	transport *backend.Transport
+	stopping  *filters.Stopping
+	wg        conc.WaitGroup
 }
 
 // New assembles an entry host and opens its listeners.
@@ -47,15 +49,22 @@
 	counters := metrics.New()
 	store := state.NewStore(state.Member{Name: s.Name, Address: s.Peer, DataCentre: s.DataCentre, Alive: true})
 	p := pools.New(clk, store)
+	transport := backend.New(backend.Options{MaxBody: maxAnswerBytes})
+	stopping := filters.NewStopping()
 	chain := filter.Chain(
+		stopping,
 		filters.Deadline{},
 		filters.Route{},
+		&filters.Retry{Clock: clk, Counters: counters},
 		filters.Selection{},
 		&filters.Admission{Clock: clk, Admitter: p},
-		&filters.Dispatch{Clock: clk, Admitter: p, Transport: backend.New(backend.Options{MaxBody: maxAnswerBytes})},
+		&filters.Dispatch{
+			Clock: clk, Admitter: p, Transport: transport, Store: store,
+			Fresh: func() bool { return !store.Stale() },
+		},
 	)
 	return &EntryHost{
-		log: log, settings: s, store: store, pools: p, listener: l,
+		log: log, settings: s, store: store, pools: p, listener: l, transport: transport, stopping: stopping,
 		front: front.New(front.Options{Settings: s, Chain: chain, Store: store, Clock: clk, Counters: counters}, l),
 	}, nil
 }
@@ -76,10 +85,18 @@
 			e.log.Named("front").Error("Listener failed.", zap.Error(err))
 		}
 	})
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	e.wg.Go(func() { e.transport.Run(running) })
 	<-ctx.Done()
+	e.stopping.Stop()
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(e.settings.StopBound))
 	defer cancel()
-	err := e.front.Shutdown(stop)
+	err := e.stopping.Drain(stop)
+	if err == nil {
+		err = e.front.Shutdown(stop)
+	}
+	end()
 	e.wg.Wait()
 	return err
 }
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -54,7 +54,7 @@
 	req.SetRequestURI("http://" + e.Address() + "/status/7")
 	is.NoErr(fasthttp.Do(req, resp))
 	is.Equal(resp.StatusCode(), 200)
-	is.Equal(string(resp.Body()), "ok /status/7\n")
+	is.Equal(string(resp.Body()), "ok /status/7 \n")
 	is.Equal(string(resp.Header.Peek(filter.HeaderVerdict)), "ran")
 	is.Equal(b.Runs(), int64(1))
 
--- /dev/null
+++ b/internal/fake/backend_test.go
@@ -0,0 +1,67 @@
+package fake
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/backend"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// TestBehaviour guards against a fake that does not show the fault that other
+// tests rely on, or that loses count of orders.
+func TestBehaviour(t *testing.T) {
+	zero := 0
+	cases := []struct {
+		name   string
+		how    Behaviour
+		answer verdict.Answer
+		status int
+		ran    int64
+	}{
+		{"good", Behaviour{}, verdict.AnswerComplete, 200, 1},
+		{"draining", Behaviour{Draining: true}, verdict.AnswerShed, 503, 0},
+		{"shed", Behaviour{ShedShare: 1}, verdict.AnswerShed, 503, 0},
+		{"fail", Behaviour{FailShare: 1}, verdict.AnswerComplete, 500, 0},
+		{"reset", Behaviour{ResetShare: 1}, verdict.AnswerNone, 0, 1},
+		{"cut", Behaviour{CutShare: 1}, verdict.AnswerCut, 0, 1},
+		{"late", Behaviour{LateShare: 1, Late: time.Minute}, verdict.AnswerNone, 0, 1},
+		{"lying", Behaviour{ReportLoad: &zero}, verdict.AnswerComplete, 200, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := &Backend{Slots: 2, ServiceTime: time.Millisecond, Instance: "a", Orders: &Orders{}}
+			is.NoErr(b.Start())
+			defer func() { _ = b.Stop() }()
+			b.Set(c.how)
+			res := backend.New(backend.Options{}).Do(context.Background(), &filter.Attempt{
+				Address: b.Address(), Limit: 200 * time.Millisecond,
+				Request: &filter.Request{Method: "POST", Host: "h", Path: "/o", Headers: []filter.Header{{Name: HeaderOrderID, Value: "7"}}},
+			})
+			is.Equal(res.Facts.Answer, c.answer)
+			if res.Response != nil {
+				is.Equal(res.Response.Status, c.status)
+				is.Equal(res.Response.Get(filter.HeaderInstance), "a")
+			}
+			is.Equal(b.Orders.Count("7"), c.ran)
+		})
+	}
+}
+
+// TestRestart guards against a restarted fake that keeps its instance or address.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	b := &Backend{Slots: 2, Instance: "a", ColdSlots: 1, WarmAfter: 1}
+	is.NoErr(b.Start())
+	address := b.Address()
+	is.NoErr(b.Restart())
+	defer func() { _ = b.Stop() }()
+	is.Equal(b.Address(), address)
+	is.Equal(b.instance(), "a-2")
+	is.True(b.cold())
+}
