--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -28,13 +29,15 @@
 
 // EntryHost is one running entry host.
 type EntryHost struct {
-	log      *zap.Logger
-	settings *settings.Settings
-	store    *state.Store
-	pools    *pools.Controller
-	front    *front.Front
-	listener net.Listener
-	wg       conc.WaitGroup
+	log       *zap.Logger
+	settings  *settings.Settings
+	store     *state.Store
+	pools     *pools.Controller
+	front     *front.Front
+	listener  net.Listener
+	transport *backend.Transport
+	stopping  *filters.Stopping
+	wg        conc.WaitGroup
 }
 
 // New assembles an entry host and opens its listeners.
@@ -46,40 +49,63 @@
 	clk := clock.NewMonotonic()
 	counters := metrics.New()
 	store := state.NewStore(state.Member{Name: s.Name, Address: s.Peer, DataCentre: s.DataCentre, Alive: true})
-	p := pools.New(clk, store)
+	p := pools.New(pools.Config{Clock: clk, Store: store, Counters: counters, Log: log})
+	transport := backend.New(backend.Options{MaxBody: maxAnswerBytes})
+	stopping := filters.NewStopping()
 	chain := filter.Chain(
+		stopping,
 		filters.Deadline{},
 		filters.Route{},
-		filters.Selection{},
+		&filters.Retry{Clock: clk, Counters: counters},
+		&filters.Selection{Clock: clk},
 		&filters.Admission{Clock: clk, Admitter: p},
-		&filters.Dispatch{Clock: clk, Admitter: p, Transport: backend.New(maxAnswerBytes)},
+		&filters.Dispatch{
+			Clock: clk, Admitter: p, Transport: transport, Store: store,
+			Fresh: func() bool { return !store.Stale() },
+		},
 	)
 	return &EntryHost{
-		log: log, settings: s, store: store, pools: p, listener: l,
-		front: front.New(s, chain, store, clk, counters),
+		log: log, settings: s, store: store, pools: p, listener: l, transport: transport, stopping: stopping,
+		front: front.New(front.Options{Settings: s, Chain: chain, Store: store, Clock: clk, Counters: counters}, l),
 	}, nil
 }
 
 // Address returns the address of the callers' listener.
 func (e *EntryHost) Address() string { return e.listener.Addr().String() }
 
-// Accept puts a manifest in force.
+// Accept puts a manifest in force. Until the leases controller is assembled,
+// this process holds the lease of every pool.
 func (e *EntryHost) Accept(m *manifest.Manifest) {
-	e.pools.Apply(m)
-	e.store.Update(func(s *state.Snapshot) { s.Manifest = m })
+	leases := &state.Leases{Held: map[manifest.PoolID]*state.HeldLease{}, Holders: map[manifest.PoolID]string{}}
+	for id := range m.Pools {
+		held := &state.HeldLease{Pool: id}
+		held.Until.Store(math.MaxInt64)
+		leases.Held[id], leases.Holders[id] = held, e.settings.Name
+	}
+	e.store.Update(func(s *state.Snapshot) { s.Manifest, s.Leases = m, leases })
 }
 
 // Run serves until ctx ends, then stops gracefully.
 func (e *EntryHost) Run(ctx context.Context) error {
+	running, stopPools := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopPools()
+	e.wg.Go(func() { e.pools.Run(running) })
+	<-e.pools.Ready()
 	e.wg.Go(func() {
-		if err := e.front.Serve(e.listener); err != nil {
+		if err := e.front.Serve(); err != nil {
 			e.log.Named("front").Error("Listener failed.", zap.Error(err))
 		}
 	})
+	e.wg.Go(func() { e.transport.Run(running) })
 	<-ctx.Done()
+	e.stopping.Stop()
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(e.settings.StopBound))
 	defer cancel()
-	err := e.front.Shutdown(stop)
+	err := e.stopping.Drain(stop)
+	if err == nil {
+		err = e.front.Shutdown(stop)
+	}
+	stopPools()
 	e.wg.Wait()
 	return err
 }
--- a/internal/filters/poison_test.go
+++ b/internal/filters/poison_test.go
@@ -10,6 +10,7 @@
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/metrics"
 	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
@@ -115,3 +116,33 @@
 	x := exchange([6]string{"route", "GET", "/lots/7", "a=b", "", "body"})
 	is.New(t).Equal(testing.AllocsPerRun(100, func() { Fingerprint(x) }), 0.0)
 }
+
+// TestPoisonInsideRetry guards against a route with retries, hedged or not,
+// that repeats a deadly request more often than the one time allowed.
+func TestPoisonInsideRetry(t *testing.T) {
+	for _, hedge := range []float64{0, 100} {
+		is := is.New(t)
+		rep := &reporter{retry: true}
+		p := &Poison{Clock: &clock.Manual{}, Store: state.NewStore(state.Member{Name: "a"}), Reporter: rep}
+		reached := -10 // requests that fill the retry budget
+		h := filter.Chain(&Retry{Clock: &clock.Manual{}, Counters: metrics.New()}, p,
+			handler(func(context.Context, *filter.Exchange) filter.Outcome {
+				if reached++; reached <= 0 {
+					return filter.Outcome{Verdict: verdict.Ran}
+				}
+				rep.retry = reached == 1
+				out := filter.Unknown(verdict.ReasonAnswerCut, nil)
+				out.Crashed = true
+				return out
+			}))
+		var out filter.Outcome
+		for range 11 {
+			x := exchange(true)
+			x.Service.HedgePercent = hedge
+			out = h.Handle(context.Background(), x)
+		}
+		is.Equal(reached, 2)
+		is.Equal(out.Verdict, verdict.MayHaveRun)
+		is.Equal(out.Reason, verdict.ReasonSuspect)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -29,8 +29,14 @@
 	Status      uint8  // membership.Status
 }
 
-// Update is one piggybacked piece of news. Exactly one field is set.
+// Update is one piggybacked piece of news. Exactly one pointer is set. Origin,
+// Incarnation and Sequence identify the news, so that it is spread once and
+// older news does not replace newer; Member news is ordered by its own fields.
 type Update struct {
+	Origin      string // entry host that published it
+	Incarnation uint64 // of the origin
+	Sequence    uint64 // per origin and incarnation
+
 	Member    *Member
 	Suspect   *Suspect
 	Successor *Successor
@@ -75,6 +81,12 @@
 	Free   int
 	Queued int
 	Slots  int
+	// MedianMicros is the median service time at the holder; 0 if unknown.
+	MedianMicros int64
+	// Cold names the servers of the pool that are not warm. It is meaningful
+	// to hosts whose manifest revision is not above Revision.
+	Cold     []string
+	Revision uint64
 }
 
 // Holder tells which entry host holds the lease of a pool.
@@ -87,6 +99,7 @@
 type PingRequest struct {
 	Header
 	Target  string // entry host meant, for indirect pings
+	Join    bool   // the sender has just started and asks for the members
 	Updates []Update
 }
 
@@ -98,7 +111,10 @@
 }
 
 // NoticeRequest tells of a newer manifest revision.
-type NoticeRequest struct{ Header }
+type NoticeRequest struct {
+	Header
+	Digest uint64 // first 8 bytes of the SHA-256 of the manifest in force, big-endian
+}
 
 // NoticeReply is empty.
 type NoticeReply struct{ Header }
@@ -115,6 +131,9 @@
 // PromiseRequest asks for or renews the promise of several pools.
 type PromiseRequest struct {
 	Header
+	// Sequence orders the lease messages of one candidate process, so that a
+	// late release does not undo a later promise.
+	Sequence   uint64
 	Pools      []manifest.PoolID
 	TermMillis int64
 }
@@ -129,7 +148,12 @@
 // LeaseReleaseRequest gives leases back on a planned stop.
 type LeaseReleaseRequest struct {
 	Header
-	Pools []PoolRelease
+	Sequence uint64 // see PromiseRequest
+	// Successor and SuccessorIncarnation name the candidate that adopted the
+	// in-flight counts. Voters reserve the pools for it for one term.
+	Successor            string
+	SuccessorIncarnation uint64
+	Pools                []PoolRelease
 }
 
 // PoolRelease is one released lease with what is still in flight.
@@ -161,6 +185,8 @@
 	RemainingMicros int64
 	RunLimitMillis  int64
 	Avoid           []string
+	WaitMicros      int64 // longest expected time in the queue
+	Spill           bool  // grant from spare slots only
 }
 
 // AcquireReply grants a slot or refuses.
