--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -18,7 +18,7 @@
 	Settings     string `long:"settings" short:"s" value-name:"FILE" description:"settings file to check"`
 	Manifest     string `long:"manifest" short:"m" value-name:"FILE" description:"manifest to check"`
 	Account      string `long:"account" value-name:"OLD-FILE" description:"old configuration to account for line by line; needs --manifest"`
-	Certificates bool   `long:"certificates" description:"also load the certificate files for callers that the settings name; for use on the entry host"`
+	Certificates bool   `long:"certificates" description:"also load the certificate files that the settings name; for use on the entry host"`
 	JSON         bool   `long:"json" description:"print JSON"`
 }
 
@@ -74,7 +74,7 @@
 		}
 		s, err := settings.Parse(raw)
 		if err == nil && c.Certificates {
-			_, err = s.CallerConfig(time.Now())
+			err = s.CheckCertificates(time.Now())
 		}
 		res.Files = append(res.Files, newFileResult(c.Settings, nil, err))
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -88,8 +88,14 @@
 	} {
 		s.CallerTLS = bad.tls
 		_, err = s.CallerConfig(bad.now)
-		if err == nil || !strings.Contains(err.Error(), bad.want) || !strings.Contains(err.Error(), "caller_tls") {
-			t.Errorf("got %v, want %q", err, bad.want)
+		peers := &Settings{PeerTLS: bad.tls}
+		if peers.PeerTLS.Authorities == "" {
+			peers.PeerTLS.Authorities = good.Certificate
+		}
+		peerErr := peers.CheckCertificates(bad.now)
+		if err == nil || peerErr == nil || !strings.Contains(err.Error(), bad.want) || !strings.Contains(peerErr.Error(), bad.want) ||
+			!strings.Contains(err.Error(), "caller_tls") || !strings.Contains(peerErr.Error(), "peer_tls") {
+			t.Errorf("got %v and %v, want %q", err, peerErr, bad.want)
 		}
 	}
 }
--- a/internal/settings/tls.go
+++ b/internal/settings/tls.go
@@ -74,3 +74,19 @@
 	}
 	return c, nil
 }
+
+// CheckCertificates loads every certificate file that the settings name, also
+// those for other entry hosts.
+func (s *Settings) CheckCertificates(now time.Time) error {
+	if _, err := s.CallerConfig(now); err != nil {
+		return err
+	}
+	if s.PeerTLS == (TLS{}) {
+		return nil
+	}
+	if _, err := s.PeerTLS.LoadCertificate(now); err != nil {
+		return errors.Wrap(err, "peer_tls")
+	}
+	_, err := s.PeerTLS.LoadAuthorities()
+	return errors.Wrap(err, "peer_tls")
+}
