--- a/internal/controller/suspects/announce.go
+++ b/internal/controller/suspects/announce.go
@@ -30,7 +30,7 @@
 
 // Register adds the messages of the controller to the peer listener.
 func (c *Controller) Register(s *peer.Server) error {
-	return errors.Wrap(s.Register("Suspect", &Service{c: c}), "register suspects")
+	return s.Register("Suspect", &Service{c: c})
 }
 
 // Service receives notices.
@@ -63,12 +63,14 @@
 func (c *Controller) announce(ctx context.Context, b *batch) {
 	list := c.toWire(b.news)
 	for i := range list {
-		c.cfg.Gossip.Publish(wire.Update{Suspect: &list[i]})
+		if c.cfg.Gossip != nil {
+			c.cfg.Gossip.Publish(wire.Update{Suspect: &list[i]})
+		}
 	}
 	snap := c.cfg.Store.Load()
 	var addresses []string
 	for name, m := range snap.Members.ByName {
-		if m.Alive && name != snap.Members.Self.Name {
+		if m.Alive && name != snap.Members.Self.Name && c.cfg.Caller != nil {
 			addresses = append(addresses, m.Address)
 		}
 	}
--- a/internal/controller/suspects/suspects.go
+++ b/internal/controller/suspects/suspects.go
@@ -40,12 +40,12 @@
 	callLimit = 500 * time.Millisecond
 )
 
-// Config holds what the controller needs. All fields but Rules are required.
+// Config holds what the controller needs.
 type Config struct {
 	Clock    clock.Clock
 	Store    *state.Store
-	Gossip   peer.Gossip
-	Caller   peer.Caller
+	Gossip   peer.Gossip // nil: no other entry hosts
+	Caller   peer.Caller // nil: no other entry hosts
 	Counters *metrics.Counters
 	Log      *zap.Logger
 	Rules    suspect.Rules // zero: suspect.DefaultRules
@@ -91,6 +91,9 @@
 	c.granted, c.denied = cfg.Counters.Int("suspects.retries_granted"), cfg.Counters.Int("suspects.retries_denied")
 	c.dropped, c.unannounced = cfg.Counters.Int("suspects.dropped"), cfg.Counters.Int("suspects.unannounced")
 	c.entries = cfg.Counters.Int("suspects.entries")
+	if cfg.Gossip == nil {
+		return c
+	}
 	cfg.Gossip.Handle(func(_ string, u wire.Update) {
 		if u.Suspect != nil {
 			c.offer(event{news: fromWire([]wire.Suspect{*u.Suspect})})
--- a/internal/controller/suspects/suspects_test.go
+++ b/internal/controller/suspects/suspects_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/peer"
 	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/wire"
 )
@@ -52,6 +55,7 @@
 		is.True(!a.c.Crashed(ctx, 1, "s1", true))
 		is.True(!b.c.Crashed(ctx, 1, "s2", true))
 		is.True(b.c.Crashed(ctx, 2, "s1", true))
+		time.Sleep(claimWait) // the notice of the denied one may be on its way
 		is.Equal(a.store.Load().Suspects.ByFingerprint[1].Crashes, 2)
 		b.c.Succeeded(2)
 		time.Sleep(time.Second)
@@ -86,3 +90,38 @@
 	bad[0].Origin, bad[1].Crashes, bad[2].TTLMillis = "", -1, 0
 	is.New(t).Equal(len(fromWire(append(bad, good))), 1)
 }
+
+// TestNoticeOverPeers guards against a message that net/rpc does not carry, and
+// against a lone entry host that fails without peers.
+func TestNoticeOverPeers(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	newHost := func(name, address string, caller peer.Caller) (*Controller, *state.Store) {
+		store := state.NewStore(state.Member{Name: name, Address: address, Alive: true})
+		return New(Config{Clock: clock.NewMonotonic(), Store: store, Caller: caller, Counters: metrics.New(), Log: zap.NewNop()}), store
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server, client := peer.NewServer(l), peer.NewClient(nil)
+	a, aStore := newHost("a", "", client)
+	b, bStore := newHost("b", l.Addr().String(), nil)
+	is.NoErr(b.Register(server))
+	aStore.Update(func(s *state.Snapshot) {
+		m := *s.Members
+		m.ByName = map[string]*state.Member{"a": &m.Self, "b": {Name: "b", Address: l.Addr().String(), Alive: true}}
+		s.Members = &m
+	})
+	running, cancel := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	wg.Go(server.Serve)
+	wg.Go(func() { a.Run(running) })
+	wg.Go(func() { b.Run(running) })
+	is.True(b.Crashed(ctx, 2, "s1", true)) // alone, it grants itself the repetition
+	is.True(!a.Crashed(ctx, 2, "s2", true))
+	a.Crashed(ctx, 1, "s1", true)
+	is.Equal(bStore.Load().Suspects.ByFingerprint[1].Crashes, 1)
+	is.Equal(bStore.Load().Suspects.ByFingerprint[2].Crashes, 2)
+	client.Close()
+	server.Close()
+	cancel()
+	wg.Wait()
+}
--- a/internal/operator/collect.go
+++ b/internal/operator/collect.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/controller/pools"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/metrics"
 	"github.com/anvilfront/anvilfront/internal/operator/status"
@@ -24,6 +25,19 @@
 	Blocked  string // why it takes no request now, such as "ejected"; or ""
 }
 
+// ServerDetails adapts the pools controller, which knows the servers of pools
+// whose lease this entry host holds.
+func ServerDetails(p *pools.Controller) func(pool manifest.PoolID, server string) ServerDetail {
+	return func(pool manifest.PoolID, server string) ServerDetail {
+		d, ok := p.Detail(pool, server)
+		v := ServerDetail{Known: ok, Inflight: d.Inflight, Limit: d.Limit, Cold: ok && !d.Warm}
+		if d.Ejected {
+			v.Blocked = "ejected after failures; gets a few requests for trial"
+		}
+		return v
+	}
+}
+
 // Collector builds the values of /status and /explain from the published state.
 type Collector struct {
 	Clock    clock.Clock
@@ -43,7 +57,7 @@
 		Name: self.Name, DataCentre: self.DataCentre, Version: c.Version,
 		Incarnation: incarnation(self.Incarnation), UptimeSeconds: now.Sub(0).Seconds(),
 		DataCentres: []status.DataCentre{}, Leases: []status.Lease{}, Alerts: []status.Alert{},
-		Members: members(snap.Members), Pools: pools(snap, now),
+		Members: members(snap.Members), Pools: poolList(snap, now),
 		Verdicts: map[string]int64{}, Refusals: map[string]int64{}, Retries: map[string]int64{},
 		Process: metrics.ReadProcess(),
 	}
@@ -111,8 +125,8 @@
 	return list
 }
 
-// pools lists the pools in the order of the manifest.
-func pools(snap *state.Snapshot, now clock.Time) []status.Pool {
+// poolList lists the pools in the order of the manifest.
+func poolList(snap *state.Snapshot, now clock.Time) []status.Pool {
 	list := []status.Pool{}
 	if snap.Manifest == nil {
 		return list
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -75,6 +75,7 @@
 	c, err = s.CallerConfig(now)
 	is.NoErr(err)
 	is.True(c.ClientCAs != nil)
+	is.NoErr((&Settings{CallerTLS: s.CallerTLS, PeerTLS: s.CallerTLS}).CheckCertificates(now))
 	for _, bad := range []struct {
 		tls  TLS
 		now  time.Time
--- a/internal/settings/tls.go
+++ b/internal/settings/tls.go
@@ -87,6 +87,8 @@
 	if _, err := s.PeerTLS.LoadCertificate(now); err != nil {
 		return errors.Wrap(err, "peer_tls")
 	}
-	_, err := s.PeerTLS.LoadAuthorities()
-	return errors.Wrap(err, "peer_tls")
+	if _, err := s.PeerTLS.LoadAuthorities(); err != nil {
+		return errors.Wrap(err, "peer_tls")
+	}
+	return nil
 }
