Test that dispatch recognises the death of a backend server

Cause: suspects rest on the reset flag of the transport, which no test followed from a real connection to the outcome.

--- a/internal/controller/suspects/fleet_test.go
+++ b/internal/controller/suspects/fleet_test.go
@@ -200,11 +200,8 @@
 	longestRefused, firstRefusals map[uint64]time.Duration
 }
 
-// fleet runs the scenario in virtual time and returns the crashes and a tally.
-func fleet(t *testing.T, protect bool, killer manifest.Route, n *network) (int, *tally) {
-	clk := clock.NewMonotonic()
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
+// start runs the controllers of all hosts until ctx ends.
+func (n *network) start(ctx context.Context, clk clock.Clock, running *sync.WaitGroup) {
 	for i := range hosts {
 		name := fmt.Sprint("eh", i)
 		h := &host{net: n, name: name, counters: metrics.New(), store: state.NewStore(state.Member{Name: name, Address: name, Alive: true})}
@@ -225,6 +222,14 @@
 			s.Members = &members
 		})
 	}
+}
+
+// fleet runs the scenario in virtual time and returns the crashes and a tally.
+func fleet(t *testing.T, protect bool, killer manifest.Route, n *network) (int, *tally) {
+	clk := clock.NewMonotonic()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	n.start(ctx, clk, &running)
 	f, count := newFarm(n.dice), &tally{longestRefused: map[uint64]time.Duration{}, firstRefusals: map[uint64]time.Duration{}}
 	send := func(r *manifest.Route, path string) {
 		running.Go(func() {
--- a/internal/filters/poison_test.go
+++ b/internal/filters/poison_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/anvilfront/anvilfront/internal/backend"
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/manifest"
@@ -146,3 +149,48 @@
 		is.Equal(out.Reason, verdict.ReasonSuspect)
 	}
 }
+
+// TestDispatchSeesDeath guards against a death that looks like an ordinary
+// failure, and against a limit of this side that looks like a death.
+func TestDispatchSeesDeath(t *testing.T) {
+	for answer, want := range map[string]bool{
+		"":               true,
+		"HTTP/1.1 200 O": true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab":                           true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab":                           false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + string(make([]byte, 99)): false,
+	} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if conn, err := l.Accept(); err == nil {
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = conn.Write([]byte(answer))
+				_ = conn.Close()
+			}
+		}()
+		clk := clock.NewMonotonic()
+		d := &Dispatch{
+			Clock: clk, Admitter: noAdmitter{}, Transport: backend.New(backend.Options{MaxBody: 50}),
+			Store: state.NewStore(state.Member{Name: "a"}), Fresh: func() bool { return true },
+		}
+		x := exchange(true)
+		x.Deadline = clk.Now().Add(10 * time.Second)
+		x.Request = &filter.Request{Method: "GET", Path: "/", Host: "h"}
+		x.Grant = &filter.Grant{Server: &manifest.BackendServer{Name: "s", Address: l.Addr().String()}, StartBy: x.Deadline}
+		out := d.Handle(context.Background(), x, nil)
+		is.Equal(out.Crashed, want) // for this answer
+		is.NoErr(l.Close())
+		<-done
+	}
+}
+
+type noAdmitter struct{}
+
+func (noAdmitter) Acquire(context.Context, *manifest.Pool, filter.Ask) (*filter.Grant, error) {
+	return nil, nil
+}
+func (noAdmitter) Release(*filter.Grant, filter.Report) {}
