--- /dev/null
+++ b/internal/controller/pools/pools_test.go
@@ -0,0 +1,394 @@
+package pools
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+	"github.com/anvilfront/anvilfront/internal/wire"
+)
+
+var poolID = manifest.PoolID{Service: "desk", DataCentre: "sgn1"}
+
+// parse returns a manifest with servers b1..bn of 4 slots in one data centre.
+func parse(t testing.TB, revision, servers int, out bool, leaving string) *manifest.Manifest {
+	text := fmt.Sprintf("revision = %d\n[[data_centres]]\nname = \"sgn1\"\nout = %v\n[[services]]\nname = \"desk\"\n"+
+		"run_limit = \"2s\"\nprobes_per_second = 4.0\n", revision, out)
+	for i := 1; i <= servers; i++ {
+		name := fmt.Sprintf("b%d", i)
+		text += fmt.Sprintf("[[services.backend_servers]]\nname = %q\naddress = \"10.0.0.%d:80\"\ndata_centre = \"sgn1\"\nslots = 4\nleaving = %v\n",
+			name, i, name == leaving)
+	}
+	m, err := manifest.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// host is a controller with its store.
+type host struct {
+	*Controller
+	t     testing.TB
+	store *state.Store
+	stop  func()
+}
+
+// link is a peer.Caller that calls the receivers of other hosts directly.
+type link struct {
+	hosts   map[string]*host
+	drop    atomic.Bool // replies are lost
+	refuse  atomic.Bool // nothing is sent
+	batches atomic.Int64
+}
+
+func (l *link) Call(ctx context.Context, _ peer.Class, address, method string, args, reply any) error {
+	if l.refuse.Load() {
+		return peer.ErrNotSent
+	}
+	r := &Receiver{l.hosts[address].Controller}
+	var err error
+	switch method {
+	case "Pool.Acquire":
+		err = r.Acquire(args.(*wire.AcquireRequest), reply.(*wire.AcquireReply))
+	case "Pool.Done":
+		l.batches.Add(1)
+		err = r.Done(args.(*wire.DoneRequest), reply.(*wire.DoneReply))
+	}
+	if l.drop.Load() {
+		<-ctx.Done()
+		return peer.ErrUnconfirmed
+	}
+	return err
+}
+
+func newHost(t testing.TB, name string, l *link, transport filter.Transport) *host {
+	store := state.NewStore(state.Member{Name: name, Address: name, DataCentre: "sgn1", Alive: true})
+	h := &host{t: t, store: store}
+	cfg := Config{Clock: clock.NewMonotonic(), Store: store, Transport: transport}
+	if l != nil {
+		cfg.Caller = l
+		l.hosts[name] = h
+	}
+	h.Controller = New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { h.Run(ctx) })
+	h.stop = func() { cancel(); wg.Wait() }
+	return h
+}
+
+func (h *host) accept(m *manifest.Manifest) {
+	h.store.Update(func(s *state.Snapshot) { s.Manifest = m })
+}
+
+// hold gives the lease of the pool to this host.
+func (h *host) hold() *state.HeldLease {
+	held := &state.HeldLease{Pool: poolID}
+	held.Until.Store(math.MaxInt64)
+	h.store.Update(func(s *state.Snapshot) {
+		s.Leases = &state.Leases{Held: map[manifest.PoolID]*state.HeldLease{poolID: held}, Holders: map[manifest.PoolID]string{poolID: s.Members.Self.Name}}
+	})
+	return held
+}
+
+// know tells this host of another one that holds the lease.
+func (h *host) know(holder string) {
+	h.store.Update(func(s *state.Snapshot) {
+		members := *s.Members
+		members.ByName = map[string]*state.Member{s.Members.Self.Name: &members.Self, holder: {Name: holder, Address: holder, Alive: true}}
+		members.Listed = []string{s.Members.Self.Name, holder}
+		s.Members = &members
+		s.Leases = &state.Leases{Held: map[manifest.PoolID]*state.HeldLease{}, Holders: map[manifest.PoolID]string{poolID: holder}}
+	})
+}
+
+// warm hands the pool over with full limits.
+func (h *host) warm(servers int, inflight int, left time.Duration) {
+	r := wire.PoolRelease{Pool: poolID}
+	for i := 1; i <= servers; i++ {
+		r.Inflight = append(r.Inflight, wire.ServerInflight{Server: fmt.Sprintf("b%d", i), Limit: 4, Established: true, Count: inflight, LeftMillis: left.Milliseconds()})
+	}
+	h.Adopt([]wire.PoolRelease{r})
+}
+
+var ask = filter.Ask{Idempotent: true, Remaining: time.Second, RunLimit: 2 * time.Second, Wait: time.Millisecond, Route: "status"}
+
+func (h *host) acquire(ask filter.Ask) (*filter.Grant, verdict.Reason) {
+	g, err := h.Acquire(context.Background(), h.store.Load().Manifest.Pools[poolID], ask)
+	if err != nil {
+		e := verdict.From(err)
+		if e.Verdict != verdict.NotRun {
+			h.t.Fatalf("refusal says %v", e.Verdict)
+		}
+		return nil, e.Reason
+	}
+	return g, verdict.ReasonNone
+}
+
+// fill acquires until refused and returns the grants.
+func (h *host) fill() []*filter.Grant {
+	var out []*filter.Grant
+	for {
+		g, _ := h.acquire(ask)
+		if g == nil {
+			return out
+		}
+		out = append(out, g)
+	}
+}
+
+var ran = filter.Report{Verdict: verdict.Ran, ServiceTime: time.Millisecond, Inflight: -1}
+
+// TestConcurrentGrantsKeepLimit guards against more requests in flight on a
+// server than its slots, and against slots that are lost or waiters forgotten.
+func TestConcurrentGrantsKeepLimit(t *testing.T) {
+	is := is.New(t)
+	h := newHost(t, "eh1", nil, nil)
+	defer h.stop()
+	h.accept(parse(t, 1, 2, false, ""))
+	h.warm(2, 0, 0)
+	h.hold()
+	for len(*h.holders.Load()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var running [3]atomic.Int64
+	var granted atomic.Int64
+	var wg sync.WaitGroup
+	slow := ask
+	slow.Wait, slow.Remaining = time.Minute, time.Minute
+	for range 32 {
+		wg.Go(func() {
+			for range 200 {
+				g, _ := h.acquire(slow)
+				if g == nil {
+					continue
+				}
+				i := g.Server.Name[1] - '0'
+				if n := running[i].Add(1); n > 4 {
+					t.Errorf("%d requests in flight on %s", n, g.Server.Name)
+				}
+				granted.Add(1)
+				running[i].Add(-1)
+				h.Release(g, ran)
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d of 6400 granted", granted.Load())
+	is.True(granted.Load() > 3200)
+	is.Equal(len(h.fill()), 8) // no slot was lost
+}
+
+// TestMoveTakesEffectAtOnce guards against grants on a server that leaves or
+// whose data centre is out, and against full load on one that returns.
+func TestMoveTakesEffectAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost(t, "eh1", nil, nil)
+		defer h.stop()
+		h.accept(parse(t, 1, 2, false, ""))
+		h.warm(2, 0, 0)
+		h.hold()
+		synctest.Wait()
+		grants := h.fill()
+		is.Equal(len(grants), 8)
+		for _, g := range grants {
+			h.Release(g, ran)
+		}
+		synctest.Wait()
+		h.accept(parse(t, 2, 2, false, "b1"))
+		grants = h.fill() // starts before the holder's goroutine has read the manifest
+		is.Equal(len(grants), 4)
+		for _, g := range grants {
+			is.Equal(g.Server.Name, "b2")
+		}
+		h.accept(parse(t, 3, 2, true, ""))
+		_, reason := h.acquire(ask)
+		is.Equal(reason, verdict.ReasonNoBackend)
+		time.Sleep(3 * time.Second)
+		h.accept(parse(t, 4, 3, false, ""))
+		synctest.Wait()
+		pub := (*h.holders.Load())[poolID].view.Load()
+		is.Equal(len(pub.view.Servers), 3)
+		for _, s := range pub.view.Servers {
+			is.Equal(s.Limit, 1) // returned or new: cold
+		}
+	})
+}
+
+// TestLostLeaseStopsGrants guards against a holder that grants after its lease
+// ended, also to requests that were waiting.
+func TestLostLeaseStopsGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost(t, "eh1", nil, nil)
+		defer h.stop()
+		h.accept(parse(t, 1, 1, false, ""))
+		held := h.hold()
+		synctest.Wait()
+		g, _ := h.acquire(ask)
+		is.True(g != nil) // cold: one slot
+		waiting := make(chan verdict.Reason, 1)
+		go func() {
+			long := ask
+			long.Wait = time.Second
+			_, reason := h.acquire(long)
+			waiting <- reason
+		}()
+		synctest.Wait()
+		held.Until.Store(0)
+		h.Release(g, ran)
+		is.Equal(<-waiting, verdict.ReasonNoLease)
+		_, reason := h.acquire(ask)
+		is.Equal(reason, verdict.ReasonNoLease)
+	})
+}
+
+// TestRemoteGrants guards against remote grants that are not ended by Done, and
+// against slots that stay taken when the reply was lost.
+func TestRemoteGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &link{hosts: map[string]*host{}}
+		holder, asker := newHost(t, "eh1", l, nil), newHost(t, "eh2", l, nil)
+		defer holder.stop()
+		defer asker.stop()
+		m := parse(t, 1, 1, false, "")
+		holder.accept(m)
+		holder.warm(1, 0, 0)
+		holder.hold()
+		asker.accept(m)
+		asker.know("eh1")
+		synctest.Wait()
+		grants := asker.fill()
+		is.Equal(len(grants), 4)
+		is.Equal(grants[0].Holder, "eh1")
+		for _, g := range grants {
+			asker.Release(g, ran)
+		}
+		asker.Release(grants[0], ran) // a second end has no effect
+		synctest.Wait()
+		is.Equal(l.batches.Load() < 5, true) // sent together
+		l.drop.Store(true)
+		_, reason := asker.acquire(ask)
+		is.Equal(reason, verdict.ReasonGrantLost)
+		l.drop.Store(false)
+		time.Sleep(500 * time.Millisecond)
+		grants = asker.fill()
+		is.Equal(len(grants), 3) // the lost grant holds its slot
+		for _, g := range grants {
+			asker.Release(g, ran)
+		}
+		time.Sleep(ask.RunLimit)
+		is.Equal(len(asker.fill()), 4) // and is free after the run limit
+		is.Equal(holder.count.expired.Value(), int64(1))
+	})
+}
+
+// TestReducedLimit guards against use of a server without a lease that is not
+// warm, by a host that is not among the first, or by more than one request.
+func TestReducedLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &link{hosts: map[string]*host{}}
+		h := newHost(t, "eh2", l, nil)
+		defer h.stop()
+		h.accept(parse(t, 1, 3, false, ""))
+		h.know("eh1")
+		synctest.Wait()
+		l.refuse.Store(true) // split from the holder
+		_, reason := h.acquire(ask)
+		is.Equal(reason, verdict.ReasonNoLease) // nothing is known to be warm
+		h.heard("eh1", wire.Update{Load: &wire.PoolLoad{Pool: poolID, Slots: 9, Cold: []string{"b3"}, Revision: 1}})
+		grants := h.fill()
+		is.Equal(len(grants), 2) // b1 and b2, one request each
+		is.True(grants[0].Server.Name != "b3" && grants[1].Server.Name != "b3")
+		h.Release(grants[0], filter.Report{Verdict: verdict.MayHaveRun, Crashed: true, Inflight: -1})
+		h.Release(grants[1], ran)
+		is.Equal(len(h.fill()), 1) // the crashed one is not warm any more
+		h.store.Update(func(s *state.Snapshot) {
+			members := *s.Members
+			members.Listed = []string{"eh1", "eh3", "eh4", "eh5", "eh6", "eh7", "eh8", "eh9"} // without eh2
+			s.Members = &members
+		})
+		synctest.Wait()
+		h.heard("eh1", wire.Update{Load: &wire.PoolLoad{Pool: poolID, Slots: 9, Revision: 1}})
+		is.Equal(len(h.fill()), 0)
+	})
+}
+
+// TestHandover guards against a successor that gives out slots still in use by
+// requests of the holder before, and against grants after Seal.
+func TestHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		before, after := newHost(t, "eh1", nil, nil), newHost(t, "eh2", nil, nil)
+		defer before.stop()
+		defer after.stop()
+		m := parse(t, 1, 1, false, "")
+		before.accept(m)
+		after.accept(m)
+		before.warm(1, 0, 0)
+		before.hold()
+		synctest.Wait()
+		for range 3 {
+			g, _ := before.acquire(ask)
+			is.True(g != nil)
+		}
+		releases := before.Seal([]manifest.PoolID{poolID})
+		is.Equal(releases[0].Inflight[0].Count, 3)
+		is.True(releases[0].Inflight[0].Established)
+		_, reason := before.acquire(ask)
+		is.Equal(reason, verdict.ReasonNoLease)
+		after.Adopt(releases)
+		after.hold()
+		synctest.Wait()
+		is.Equal(len(after.fill()), 1)
+		time.Sleep(ask.RunLimit + filter.GrantStart + tick)
+		is.Equal(len(after.fill()), 3)
+	})
+}
+
+type probed struct{ n atomic.Int64 }
+
+func (p *probed) Do(context.Context, *filter.Attempt) filter.Result {
+	p.n.Add(1)
+	return filter.Result{Err: errors.New("no answer")}
+}
+
+// TestProbesStayInBudget guards against probes above the measuring budget of 4
+// per second, and against probes without a lease.
+func TestProbesStayInBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &probed{}
+		h := newHost(t, "eh1", nil, transport)
+		defer h.stop()
+		h.accept(parse(t, 1, 8, false, ""))
+		held := h.hold()
+		time.Sleep(10*time.Second + time.Millisecond)
+		synctest.Wait()
+		n := transport.n.Load()
+		t.Logf("%d probes in 10 s", n)
+		is.True(n > 30 && n <= 40)
+		is.Equal(h.count.probes.Value(), n)
+		held.Until.Store(0)
+		time.Sleep(10 * time.Second)
+		is.Equal(transport.n.Load(), n)
+	})
+}
