--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -97,11 +97,19 @@
 }
 
 // Observe takes one observation on the named server and reports whether the
-// view changed. Observations on unknown servers have no effect.
+// view changed.
 func (p *Pool) Observe(name string, o Observation, now clock.Time) bool {
+	p.Record(name, o, now)
+	return p.Refresh(now)
+}
+
+// Record takes one observation on the named server without an update of the
+// view, which Refresh does for several at once. Observations on unknown
+// servers have no effect.
+func (p *Pool) Record(name string, o Observation, now clock.Time) {
 	i := p.index(name)
 	if i < 0 {
-		return false
+		return
 	}
 	s := p.servers[i]
 	if s.newInstance(o.Instance) {
@@ -115,7 +123,6 @@
 	}
 	s.judge(median, p.medianFails())
 	p.eject()
-	return p.refresh(now)
 }
 
 func (s *server) newInstance(instance string) bool {
@@ -196,13 +203,13 @@
 func (p *Pool) Overdue(name string, count int, oldest time.Duration, now clock.Time) bool {
 	i := p.index(name)
 	if i < 0 || (count == 0 && p.servers[i].overdue == 0) {
-		return p.refresh(now)
+		return p.Refresh(now)
 	}
 	s := p.servers[i]
 	s.overdue, s.oldest = count, oldest
 	s.judge(p.median(), p.medianFails())
 	p.eject()
-	return p.refresh(now)
+	return p.Refresh(now)
 }
 
 // OverdueAfter is the age from which a request in flight counts as overdue, or
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -43,8 +43,9 @@
 // View returns the current view.
 func (p *Pool) View() *View { return p.view }
 
-// refresh rebuilds the view when a limit, weight or state differs.
-func (p *Pool) refresh(now clock.Time) bool {
+// Refresh rebuilds the view when a limit, weight or state differs, and reports
+// whether it did.
+func (p *Pool) Refresh(now clock.Time) bool {
 	changed := len(p.view.Servers) != len(p.servers)
 	median := p.median()
 	for i, s := range p.servers {
--- a/internal/controller/pools/handover.go
+++ b/internal/controller/pools/handover.go
@@ -23,7 +23,7 @@
 			pub := h.view.Load()
 			for i, s := range pub.view.Servers {
 				instance := ""
-				if r := c.reduced.Load().byKey[s.Name]; r != nil && r.state.instance.Load() != nil {
+				if r := c.reduced.Load().byKey[keyOf(pub.servers[i])]; r != nil && r.state.instance.Load() != nil {
 					instance = *r.state.instance.Load()
 				}
 				release.Inflight = append(release.Inflight, wire.ServerInflight{
--- a/internal/controller/pools/holder.go
+++ b/internal/controller/pools/holder.go
@@ -225,6 +225,12 @@
 			h.offer(w)
 		case r := <-h.reports:
 			h.report(r)
+			for n := min(len(h.reports), 64); n > 0; n-- {
+				h.report(<-h.reports)
+			}
+			if h.pool.Refresh(h.c.clock.Now()) {
+				h.publish()
+			}
 		case <-h.changed:
 			h.refresh()
 		case <-h.freed:
@@ -331,9 +337,7 @@
 	if r.held > 0 {
 		h.queue.Held(r.held)
 	}
-	if h.pool.Observe(r.backend.key, r.o, h.c.clock.Now()) {
-		h.publish()
-	}
+	h.pool.Record(r.backend.key, r.o, h.c.clock.Now())
 }
 
 // publish publishes the pool's view with the servers it stands for.
--- a/internal/controller/pools/reduced.go
+++ b/internal/controller/pools/reduced.go
@@ -17,9 +17,14 @@
 // is immutable except for the atomics of its entries.
 type reducedTable struct {
 	pools map[manifest.PoolID][]*reducedServer
-	byKey map[string]*reducedServer
+	byKey map[serverKey]*reducedServer
 }
 
+// serverKey tells backend servers apart; another address is another server.
+type serverKey struct{ name, address string }
+
+func keyOf(b *manifest.BackendServer) serverKey { return serverKey{b.Name, b.Address} }
+
 // reducedServer is one backend server as known without a lease.
 type reducedServer struct {
 	server *manifest.BackendServer
@@ -36,11 +41,11 @@
 
 func (c *Controller) buildReduced(m *manifest.Manifest, members *state.Members) {
 	old := c.reduced.Load()
-	next := &reducedTable{pools: map[manifest.PoolID][]*reducedServer{}, byKey: map[string]*reducedServer{}}
+	next := &reducedTable{pools: map[manifest.PoolID][]*reducedServer{}, byKey: map[serverKey]*reducedServer{}}
 	for id, p := range m.Pools {
 		for _, b := range p.Servers {
 			r := &reducedServer{server: b, state: &reducedState{}}
-			if before := old.byKey[key(b)]; before != nil {
+			if before := old.byKey[keyOf(b)]; before != nil {
 				r.state = before.state
 			}
 			r.mine = slices.Contains(balance.ReducedHosts(b.Name, b.Slots, members.Listed), members.Self.Name)
@@ -48,7 +53,7 @@
 				r.state.warm.Store(false) // cold when it returns
 			}
 			next.pools[id] = append(next.pools[id], r)
-			next.byKey[key(b)] = r
+			next.byKey[keyOf(b)] = r
 		}
 	}
 	c.reduced.Store(next)
@@ -69,7 +74,7 @@
 }
 
 func (c *Controller) releaseReduced(g *filter.Grant) {
-	if r := c.reduced.Load().byKey[key(g.Server)]; r != nil {
+	if r := c.reduced.Load().byKey[keyOf(g.Server)]; r != nil {
 		r.state.busy.Store(false)
 	}
 }
@@ -89,7 +94,7 @@
 // learn notes signs that a server is not warm any more, from the answers that
 // this entry host saw itself.
 func (c *Controller) learn(b *manifest.BackendServer, r filter.Report) {
-	s := c.reduced.Load().byKey[key(b)]
+	s := c.reduced.Load().byKey[keyOf(b)]
 	if s == nil {
 		return
 	}
@@ -100,7 +105,8 @@
 		return
 	}
 	if before := s.state.instance.Load(); before == nil || *before != r.Instance {
-		s.state.instance.Store(&r.Instance)
+		instance := r.Instance
+		s.state.instance.Store(&instance)
 		if before != nil {
 			s.state.warm.Store(false)
 		}
