--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -161,8 +161,9 @@
 	is := is.New(t)
 	p, _ := testPool(5, 4, 1)
 	warm(p, 5*time.Millisecond, 0)
-	is.Equal(p.OverdueAfter(), 20*time.Millisecond)
-	is.True(p.Overdue("b2", 4, 60*time.Millisecond, 100*ms))
+	late := 60 * time.Millisecond
+	is.True(!p.Ages("b2", []time.Duration{late / 4, late / 4, late / 4, late / 4}, 100*ms))
+	is.True(p.Ages("b2", []time.Duration{late, late, late, late}, 100*ms))
 	is.True(p.View().Servers[2].Ejected)
 }
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -198,10 +198,16 @@
 	}
 }
 
-// Overdue tells how many requests are in flight on a server for longer than
-// OverdueAfter, and the age of the oldest. It reports whether the view changed.
-func (p *Pool) Overdue(name string, count int, oldest time.Duration, now clock.Time) bool {
-	i := p.index(name)
+// Ages tells the ages of the requests in flight on a server. Those older than
+// four medians count as overdue. It reports whether the view changed.
+func (p *Pool) Ages(name string, ages []time.Duration, now clock.Time) bool {
+	i, after := p.index(name), time.Duration(4*p.median()*float64(time.Second))
+	count, oldest := 0, time.Duration(0)
+	for _, age := range ages {
+		if after > 0 && age > after {
+			count, oldest = count+1, max(oldest, age)
+		}
+	}
 	if i < 0 || (count == 0 && p.servers[i].overdue == 0) {
 		return p.Refresh(now)
 	}
@@ -212,12 +218,6 @@
 	return p.Refresh(now)
 }
 
-// OverdueAfter is the age from which a request in flight counts as overdue, or
-// 0 while the service's median is unknown.
-func (p *Pool) OverdueAfter() time.Duration {
-	return time.Duration(4 * p.median() * float64(time.Second))
-}
-
 // Median is the median service time of the pool's servers, 0 while unknown.
 func (p *Pool) Median() time.Duration { return p.ownMedian() }
 
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -168,6 +168,24 @@
 	return last
 }
 
+// Serve refuses the items that can no longer be served in time and serves the
+// others in order, until take finds no slot.
+func (q *Queue) Serve(now clock.Time, take func(*Item) bool, refuse func(*Item)) {
+	for _, it := range q.Expired(now) {
+		refuse(it)
+	}
+	for it := q.Next(); it != nil && take(it); it = q.Next() {
+		q.Remove(it)
+	}
+}
+
+// Granted tells an ordering that counts grants of one more.
+func (q *Queue) Granted(it *Item, now clock.Time) {
+	if w, ok := q.order.(*Weighted); ok {
+		w.Granted(it.Priority, now)
+	}
+}
+
 // Remove removes an item and reports whether it was waiting.
 func (q *Queue) Remove(it *Item) bool {
 	for i, other := range q.items {
--- a/internal/controller/pools/holder.go
+++ b/internal/controller/pools/holder.go
@@ -52,6 +52,7 @@
 	nextTick   clock.Time
 	gossiped   clock.Time
 	gossipFree int
+	ages       []time.Duration // scratch space
 }
 
 // published is what the path of a request reads. It is immutable.
@@ -314,23 +315,19 @@
 // serve grants free slots to waiting requests and refuses those out of time.
 func (h *holder) serve(now clock.Time) {
 	pub := h.view.Load()
-	for _, it := range h.queue.Expired(now) {
-		h.settle(it.Ref.(*waiter), nil, verdict.ReasonOverload)
-	}
-	for it := h.queue.Next(); it != nil; it = h.queue.Next() {
+	h.queue.Serve(now, func(it *balance.Item) bool {
 		w := it.Ref.(*waiter)
 		if !h.lease.Valid(now) || h.sealed.Load() {
-			h.queue.Remove(it)
 			h.settle(w, nil, verdict.ReasonNoLease)
-			continue
+			return true
 		}
 		rec := h.take(pub, &w.ask, now, w.remote)
-		if rec == nil {
-			return
+		if rec != nil {
+			h.queue.Granted(it, now)
+			h.settle(w, rec, verdict.ReasonNone)
 		}
-		h.queue.Remove(it)
-		h.settle(w, rec, verdict.ReasonNone)
-	}
+		return rec != nil
+	}, func(it *balance.Item) { h.settle(it.Ref.(*waiter), nil, verdict.ReasonOverload) })
 }
 
 func (h *holder) report(r report) {
--- a/internal/controller/pools/keep.go
+++ b/internal/controller/pools/keep.go
@@ -68,20 +68,19 @@
 func (h *holder) housekeep(now clock.Time) {
 	pub := h.view.Load()
 	h.pool.SetPeerMedians(h.peerMedians())
-	after, changed := h.pool.OverdueAfter(), false
+	changed := false
 	for _, b := range pub.backends {
-		overdue, oldest := 0, time.Duration(0)
+		h.ages = h.ages[:0]
 		b.each(func(rec *record) {
 			if rec.remote && !now.Before(rec.expires) {
 				h.expire(rec)
 				return
 			}
-			if age := now.Sub(rec.at); after > 0 && age > after && rec.holder == h {
-				overdue++
-				oldest = max(oldest, age)
+			if rec.holder == h {
+				h.ages = append(h.ages, now.Sub(rec.at))
 			}
 		})
-		if h.pool.Overdue(b.key, overdue, oldest, now) {
+		if h.pool.Ages(b.key, h.ages, now) {
 			changed = true
 		}
 	}
