--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -97,11 +97,19 @@
 }
 
 // Observe takes one observation on the named server and reports whether the
-// view changed. Observations on unknown servers have no effect.
+// view changed.
 func (p *Pool) Observe(name string, o Observation, now clock.Time) bool {
+	p.Record(name, o, now)
+	return p.Refresh(now)
+}
+
+// Record takes one observation on the named server without an update of the
+// view, which Refresh does for several at once. Observations on unknown
+// servers have no effect.
+func (p *Pool) Record(name string, o Observation, now clock.Time) {
 	i := p.index(name)
 	if i < 0 {
-		return false
+		return
 	}
 	s := p.servers[i]
 	if s.newInstance(o.Instance) {
@@ -115,7 +123,6 @@
 	}
 	s.judge(median, p.medianFails())
 	p.eject()
-	return p.refresh(now)
 }
 
 func (s *server) newInstance(instance string) bool {
@@ -191,24 +198,24 @@
 	}
 }
 
-// Overdue tells how many requests are in flight on a server for longer than
-// OverdueAfter, and the age of the oldest. It reports whether the view changed.
-func (p *Pool) Overdue(name string, count int, oldest time.Duration, now clock.Time) bool {
-	i := p.index(name)
+// Ages tells the ages of the requests in flight on a server. Those older than
+// four medians count as overdue. It reports whether the view changed.
+func (p *Pool) Ages(name string, ages []time.Duration, now clock.Time) bool {
+	i, after := p.index(name), time.Duration(4*p.median()*float64(time.Second))
+	count, oldest := 0, time.Duration(0)
+	for _, age := range ages {
+		if after > 0 && age > after {
+			count, oldest = count+1, max(oldest, age)
+		}
+	}
 	if i < 0 || (count == 0 && p.servers[i].overdue == 0) {
-		return p.refresh(now)
+		return p.Refresh(now)
 	}
 	s := p.servers[i]
 	s.overdue, s.oldest = count, oldest
 	s.judge(p.median(), p.medianFails())
 	p.eject()
-	return p.refresh(now)
-}
-
-// OverdueAfter is the age from which a request in flight counts as overdue, or
-// 0 while the service's median is unknown.
-func (p *Pool) OverdueAfter() time.Duration {
-	return time.Duration(4 * p.median() * float64(time.Second))
+	return p.Refresh(now)
 }
 
 // Median is the median service time of the pool's servers, 0 while unknown.
