Run keyed orders at their owner and hand them over

Cause: an order that a caller sends again, or that two entry hosts get, must be dispatched once, and "not run" must stay true.

--- /dev/null
+++ b/internal/controller/orders/handover.go
@@ -0,0 +1,179 @@
+package orders
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/filters"
+	"github.com/anvilfront/anvilfront/internal/ledger"
+	"github.com/anvilfront/anvilfront/internal/orderkey"
+	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/wire"
+)
+
+// maxAdopted bounds the books taken over from others. Each one is bounded by
+// ledger.Config and goes when its last key expires, so 16 cover the planned
+// stops of a whole fleet today within one key life.
+const maxAdopted = 16
+
+// maxRemembered bounds the incarnations remembered as taken over. At 60
+// restarts a day a host reaches it after 68 days at the earliest, and then
+// takes over no more.
+const maxRemembered = 1 << 12
+
+// Stop seals all books, waits until their orders have finished or ctx ends, and
+// hands each book to one successor. It returns the number of orders still running.
+// Callers' requests and forwarded orders are still answered meanwhile. The
+// controller's Run must go on until Stop returns.
+func (c *Controller) Stop(ctx context.Context) (running int64) {
+	all := *c.books.Load()
+	for _, b := range all {
+		if b != nil {
+			b.Seal()
+		}
+	}
+	for _, b := range all {
+		running += drain(ctx, b)
+	}
+	if running > 0 {
+		c.cfg.Log.Warn("Orders still run at the end of the drain.", zap.Int64("orders", running))
+	}
+	for incarnation, b := range all {
+		if b != nil {
+			// A transfer is short and must not be cut off because the drain took long.
+			c.handOver(context.WithoutCancel(ctx), incarnation, b)
+		}
+	}
+	return running
+}
+
+func drain(ctx context.Context, b *filters.Book) int64 {
+	for b != nil && b.Usage().Running > 0 {
+		select {
+		case <-b.Idle():
+		case <-ctx.Done():
+			return b.Usage().Running
+		}
+	}
+	return 0
+}
+
+// handOver transfers one book. Another host is asked only after a refusal that
+// is certain: no byte left this process, or the peer answered no. After an
+// unconfirmed transfer the peer may be the successor, so no other host may be.
+func (c *Controller) handOver(ctx context.Context, incarnation uint64, b *filters.Book) {
+	s := c.cfg.Store.Load()
+	payload := b.Export(c.cfg.Clock.Now(), b.Secret)
+	for _, to := range successors(s.Members, incarnation) {
+		switch c.transfer(ctx, s, to, incarnation, payload) {
+		case transferRefused:
+			continue
+		case transferUnconfirmed:
+			c.cfg.Log.Warn("Hand-over of order records was not confirmed.", zap.String("successor", to.Name))
+			return
+		}
+		c.noteMoved(incarnation, to.Name)
+		c.cfg.Gossip.Publish(wire.Update{Successor: &wire.Successor{Incarnation: incarnation, Name: to.Name}})
+		c.cfg.Log.Info("Handed over order records.", zap.String("successor", to.Name), zap.Int("bytes", len(payload)))
+		return
+	}
+	c.cfg.Log.Warn("No entry host took over the order records.")
+}
+
+type transferResult uint8
+
+const (
+	transferUnconfirmed transferResult = iota
+	transferRefused
+	transferAccepted
+)
+
+func (c *Controller) transfer(ctx context.Context, s *state.Snapshot, to *state.Member, incarnation uint64, payload []byte) transferResult {
+	ctx, cancel := context.WithTimeout(ctx, transferLimit)
+	defer cancel()
+	reply := &wire.HandOverReply{}
+	args := &wire.HandOverRequest{Header: c.Header(s), Owner: incarnation, Payload: payload}
+	err := c.cfg.Peers.Call(ctx, peer.Data, to.Address, "Order.HandOver", args, reply)
+	remote, answered := errors.Into[*peer.RemoteError](err)
+	switch {
+	case err == nil && reply.Accepted:
+		return transferAccepted
+	case err == nil, errors.Is(err, peer.ErrNotSent), answered && remote != nil:
+		return transferRefused
+	default:
+		return transferUnconfirmed
+	}
+}
+
+// successors returns the entry hosts to hand over to, best first. Those in the
+// own data centre come first, because callers that hold the keys are routed to it.
+func successors(m *state.Members, incarnation uint64) []*state.Member {
+	able := func(near bool) func(*state.Member) bool {
+		return func(v *state.Member) bool {
+			return v.Name != m.Self.Name && v.Alive && !v.Leaving && (v.DataCentre == m.Self.DataCentre) == near
+		}
+	}
+	return append(rank(m, incarnation, candidates, able(true)), rank(m, incarnation, candidates, able(false))...)
+}
+
+func (c *Controller) noteMoved(incarnation uint64, name string) {
+	for {
+		old := c.moved.Load()
+		next := make(map[uint64]string, len(*old)+1)
+		for k, v := range *old {
+			next[k] = v
+		}
+		next[incarnation] = name
+		if c.moved.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
+// successor returns the confirmed successor for a key of this process, or "".
+func (c *Controller) successor(key string) string {
+	k, err := orderkey.Decode(key)
+	if err != nil {
+		return ""
+	}
+	return (*c.moved.Load())[k.Incarnation]
+}
+
+// adopt takes over the book of a stopped incarnation. A repeated transfer of
+// the same book is confirmed again and changes nothing.
+func (c *Controller) adopt(incarnation uint64, payload []byte) bool {
+	if c.own.Sealed() || incarnation == c.cfg.Incarnation {
+		return false
+	}
+	now := c.cfg.Clock.Now()
+	l, secret, err := ledger.Import(payload, now, c.cfg.Ledger)
+	if err != nil {
+		c.cfg.Log.Warn("Refused a hand-over.", zap.Error(err))
+		return false
+	}
+	accepted := c.edit(func(b books) bool {
+		live := 0
+		for inc, book := range b {
+			switch {
+			case inc == c.cfg.Incarnation || book == nil:
+			case book.Expired(now):
+				b[inc] = nil
+			default:
+				live++
+			}
+		}
+		if _, known := b[incarnation]; known {
+			return true
+		}
+		b[incarnation] = &filters.Book{Ledger: l, Secret: secret}
+		return live < maxAdopted && len(b) <= maxRemembered
+	})
+	if accepted {
+		self := c.cfg.Store.Load().Members.Self.Name
+		c.cfg.Gossip.Publish(wire.Update{Successor: &wire.Successor{Incarnation: incarnation, Name: self}})
+	}
+	return accepted
+}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -78,6 +78,12 @@
 	// BeforeDispatch, when set, runs right before the first byte may leave. An
 	// error stops the attempt unsent. The orderkey filter records the key here.
 	BeforeDispatch func() error
+	// AfterAttempt, when set, hears the outcome of each attempt. The orderkey
+	// filter sets it; the orderattempt filter, behind the retry filter, calls it.
+	AfterAttempt func(Outcome)
+	// KeyBound is true when a NotRun outcome comes from the owner of the key,
+	// which will never run an order under it.
+	KeyBound bool
 }
 
 // Outcome is the result of a request or of one attempt.
--- /dev/null
+++ b/internal/filters/orderattempt.go
@@ -0,0 +1,23 @@
+package filters
+
+import (
+	"context"
+
+	"github.com/anvilfront/anvilfront/internal/filter"
+)
+
+// OrderAttempt reports the outcome of each attempt to the orderkey filter. It
+// stands directly behind the retry filter. Without it every order gets one attempt.
+type OrderAttempt struct{}
+
+// Name implements filter.Filter.
+func (OrderAttempt) Name() string { return "orderattempt" }
+
+// Handle implements filter.Filter.
+func (OrderAttempt) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
+	out := next.Handle(ctx, x)
+	if x.AfterAttempt != nil {
+		x.AfterAttempt(out)
+	}
+	return out
+}
