--- /dev/null
+++ b/internal/controller/orders/peers_test.go
@@ -0,0 +1,116 @@
+package orders
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/filters"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+	"github.com/anvilfront/anvilfront/internal/wire"
+)
+
+type noGossip struct{}
+
+func (noGossip) Publish(wire.Update)              {}
+func (noGossip) Handle(func(string, wire.Update)) {}
+
+// TestOverPeers guards against messages that do not survive gob and net/rpc:
+// a forwarded order, a copy and its look-up, a hand-over, and a forward that
+// follows the successor.
+func TestOverPeers(t *testing.T) {
+	is := is.New(t)
+	m, err := manifest.Parse([]byte(testManifest))
+	is.NoErr(err)
+	var runs atomic.Int32
+	run := filter.HandlerFunc(func(_ context.Context, x *filter.Exchange) filter.Outcome {
+		if err := x.BeforeDispatch(); err != nil {
+			return filter.Refuse(verdict.From(err).Reason, err)
+		}
+		runs.Add(1)
+		return filter.Outcome{Verdict: verdict.Ran, Response: &filter.Response{Status: 201,
+			Headers: []filter.Header{{Name: "Location", Value: "/order/7"}}, Body: append([]byte("answer to "), x.Request.Body...)}}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var ctls []*Controller
+	var stores []*state.Store
+	var chains []filter.Handler
+	members := map[string]*state.Member{}
+	for i, name := range []string{"eh0", "eh1", "eh2"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		self := state.Member{Name: name, Address: l.Addr().String(), DataCentre: []string{"dc0", "dc1", "dc1"}[i], Incarnation: uint64(i + 1), Alive: true}
+		members[name] = &self
+		store, clk, client := state.NewStore(self), clock.NewMonotonic(), peer.NewClient(nil)
+		ctl, err := New(Config{Clock: clk, Store: store, Peers: client, Gossip: noGossip{}, Counters: metrics.New(),
+			Log: zap.NewNop(), Incarnation: self.Incarnation, Address: self.Address})
+		is.NoErr(err)
+		chain := filter.Chain(&filters.OrderGuard{Clock: clk, Orders: ctl}, filters.Deadline{}, filters.Route{},
+			&filters.OrderKey{Clock: clk, Orders: ctl, Peers: client}, last{run})
+		ctl.SetChain(chain)
+		server := peer.NewServer(l)
+		is.NoErr(ctl.Register(server))
+		go server.Serve()
+		go ctl.Run(ctx)
+		defer server.Close()
+		defer client.Close()
+		ctls, stores, chains = append(ctls, ctl), append(stores, store), append(chains, chain)
+	}
+	for i, s := range stores {
+		self := *members[[]string{"eh0", "eh1", "eh2"}[i]]
+		s.Update(func(s *state.Snapshot) {
+			s.Manifest, s.Members = m, &state.Members{Self: self, ByName: members}
+		})
+	}
+	send := func(i int, key, body string) filter.Outcome {
+		return chains[i].Handle(ctx, &filter.Exchange{Snapshot: stores[i].Load(), Key: key, Arrived: 0,
+			Request: &filter.Request{Method: "POST", Path: "/order", Body: []byte(body), Headers: []filter.Header{{Name: filter.HeaderOrderKey, Value: key}}}})
+	}
+	keys, err := ctls[0].Issue(3)
+	is.NoErr(err)
+	for i := range chains { // forwarded from eh1 and eh2
+		out := send(i, keys[0], "a")
+		is.Equal(out.Verdict, verdict.Ran)
+		is.Equal(string(out.Response.Body), "answer to a")
+		is.Equal(out.Response.Get("Location"), "/order/7")
+	}
+	is.Equal(runs.Load(), int32(1))
+	is.Equal(ctls[0].Stop(ctx), int64(0))
+	for _, key := range []string{keys[1], keys[1]} { // to eh0, which names its successor
+		out := send(1, key, "b")
+		is.Equal(out.Verdict, verdict.Ran)
+	}
+	is.Equal(runs.Load(), int32(2))
+	is.Equal(send(2, keys[0], "a").Verdict, verdict.Ran)
+	is.Equal(send(2, keys[0], "other").Reason, verdict.ReasonKeyConflict)
+	is.Equal(runs.Load(), int32(2))
+	found := false // the copy of the first order is sent by a goroutine of its own
+	for end := time.Now().Add(5 * time.Second); !found && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, c := range ctls[1:] {
+			_, ok := c.held(keys[0], 0)
+			found = found || ok
+		}
+	}
+	is.True(found)
+}
+
+// last runs a handler as the last filter.
+type last struct{ filter.Handler }
+
+func (last) Name() string { return "last" }
+
+func (l last) Handle(ctx context.Context, x *filter.Exchange, _ filter.Handler) filter.Outcome {
+	return l.Handler.Handle(ctx, x)
+}
