--- a/internal/controller/pools/pools.go
+++ b/internal/controller/pools/pools.go
@@ -91,7 +91,10 @@
 
 // Register adds the receivers of Pool.Acquire and Pool.Done.
 func (c *Controller) Register(s *peer.Server) error {
-	return errors.Wrap(s.Register("Pool", &Receiver{c}), "register pools")
+	if err := s.Register("Pool", &Receiver{c}); err != nil {
+		return errors.Wrap(err, "register pools")
+	}
+	return nil
 }
 
 // Run follows manifest, leases and members until ctx ends. It must run for as
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -84,6 +84,12 @@
 	// Crashed is true once a backend server died during an attempt. CrashRetry
 	// allows one more attempt after that. Both belong to the poison filter.
 	Crashed, CrashRetry bool
+	// AfterAttempt, when set, hears the outcome of each attempt. The orderkey
+	// filter sets it; the orderattempt filter, behind the retry filter, calls it.
+	AfterAttempt func(Outcome)
+	// KeyBound is true when a NotRun outcome comes from the owner of the key,
+	// which will never run an order under it.
+	KeyBound bool
 }
 
 // Outcome is the result of a request or of one attempt.
--- a/internal/filters/selection_test.go
+++ b/internal/filters/selection_test.go
@@ -36,8 +36,8 @@
 
 func (a *admitter) Release(*filter.Grant, filter.Report) {}
 
-// exchange returns a request in data centre dc1 of 4, with dc4 out.
-func exchange(t *testing.T, c *clock.Manual) *filter.Exchange {
+// pooledExchange returns a request in data centre dc1 of 4, with dc4 out.
+func pooledExchange(t *testing.T, c *clock.Manual) *filter.Exchange {
 	text := "revision = 1\n"
 	for i := 1; i <= 4; i++ {
 		text += fmt.Sprintf("[[data_centres]]\nname = \"dc%d\"\nout = %v\n", i, i == 4)
@@ -100,7 +100,7 @@
 				dispatched++
 				return c.last
 			}))
-			out := chain.Handle(context.Background(), exchange(t, clk))
+			out := chain.Handle(context.Background(), pooledExchange(t, clk))
 			is.Equal(out.Reason, c.reason)
 			is.Equal(len(a.asked), c.asked)
 			is.Equal(a.asked[0], "dc1")
