Let the fake's cold capacity rise with its successes

Cause: a server that bears a fixed number of requests until it is warm does not match the ramp of the slow start. Change: the capacity grows from ColdSlots to Slots; answers tell their time in the server.

--- a/internal/fake/backendcall.go
+++ b/internal/fake/backendcall.go
@@ -16,6 +16,9 @@
 // HeaderOrderID carries the identity of an order, by which doubled orders are found.
 const HeaderOrderID = "Order-Id"
 
+// HeaderTime carries the microseconds that an answer took in the backend server.
+const HeaderTime = "Backend-Time-Us"
+
 // call is one request to a Backend.
 type call struct {
 	b    *Backend
@@ -24,6 +27,7 @@
 	r    *bufio.Reader
 	req  *fasthttp.Request
 	resp *fasthttp.Response
+	from time.Time // when the request was read
 }
 
 // handle fills the answer. It returns false when the connection ended instead.
@@ -75,7 +79,7 @@
 	}
 	x.b.runs.Add(1)
 	d := x.b.time(x.how)
-	overload := x.b.cold() && n > int64(x.b.ColdSlots)
+	overload := n > x.b.bears()
 	if overload {
 		x.b.coldOverloads.Add(1)
 		d *= 5
@@ -89,6 +93,7 @@
 		return true
 	}
 	x.b.successes.Add(1)
+	x.resp.Header.Set(HeaderTime, strconv.FormatInt(time.Since(x.from).Microseconds(), 10))
 	// The body names the request, so that an answer to another caller is found.
 	x.resp.SetBodyString("ok " + string(x.req.Header.RequestURI()) + " " + id + "\n")
 	return x.damage()
