--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -48,7 +49,7 @@
 	clk := clock.NewMonotonic()
 	counters := metrics.New()
 	store := state.NewStore(state.Member{Name: s.Name, Address: s.Peer, DataCentre: s.DataCentre, Alive: true})
-	p := pools.New(clk, store)
+	p := pools.New(pools.Config{Clock: clk, Store: store, Counters: counters, Log: log})
 	transport := backend.New(backend.Options{MaxBody: maxAnswerBytes})
 	stopping := filters.NewStopping()
 	chain := filter.Chain(
@@ -56,7 +57,7 @@
 		filters.Deadline{},
 		filters.Route{},
 		&filters.Retry{Clock: clk, Counters: counters},
-		filters.Selection{},
+		&filters.Selection{Clock: clk},
 		&filters.Admission{Clock: clk, Admitter: p},
 		&filters.Dispatch{
 			Clock: clk, Admitter: p, Transport: transport, Store: store,
@@ -72,21 +73,29 @@
 // Address returns the address of the callers' listener.
 func (e *EntryHost) Address() string { return e.listener.Addr().String() }
 
-// Accept puts a manifest in force.
+// Accept puts a manifest in force. Until the leases controller is assembled,
+// this process holds the lease of every pool.
 func (e *EntryHost) Accept(m *manifest.Manifest) {
-	e.pools.Apply(m)
-	e.store.Update(func(s *state.Snapshot) { s.Manifest = m })
+	leases := &state.Leases{Held: map[manifest.PoolID]*state.HeldLease{}, Holders: map[manifest.PoolID]string{}}
+	for id := range m.Pools {
+		held := &state.HeldLease{Pool: id}
+		held.Until.Store(math.MaxInt64)
+		leases.Held[id], leases.Holders[id] = held, e.settings.Name
+	}
+	e.store.Update(func(s *state.Snapshot) { s.Manifest, s.Leases = m, leases })
 }
 
 // Run serves until ctx ends, then stops gracefully.
 func (e *EntryHost) Run(ctx context.Context) error {
+	running, stopPools := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopPools()
+	e.wg.Go(func() { e.pools.Run(running) })
+	<-e.pools.Ready()
 	e.wg.Go(func() {
 		if err := e.front.Serve(); err != nil {
 			e.log.Named("front").Error("Listener failed.", zap.Error(err))
 		}
 	})
-	running, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
 	e.wg.Go(func() { e.transport.Run(running) })
 	<-ctx.Done()
 	e.stopping.Stop()
@@ -96,7 +105,7 @@
 	if err == nil {
 		err = e.front.Shutdown(stop)
 	}
-	end()
+	stopPools()
 	e.wg.Wait()
 	return err
 }
