Assemble the entry host with its controllers and life cycle

Cause: the entry host ran a chain without leases, members, manifests, alerts and operator listener, and had no planned stop.

Change: one place builds the parts, chain.go shows the path of a request from top to bottom, life.go runs the controllers and the stop: notice, refusal, drain, leave, release of leases, end of the listeners, bounded and ended early by Abort. The connections controller gives the transport its share per backend server. localfleet runs fakes and entry hosts on loopback for the demo and the measurements. pools.Register returned an error on success, since errors.Wrap of this library wraps nil too.

--- /dev/null
+++ b/examples/latency/main.go
@@ -0,0 +1,172 @@
+// Command latency measures what one entry host adds to a request: the same
+// requests go straight to a fake backend server and through an entry host, in
+// turn, in one process on the loopback address.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/anvilfront/anvilfront/internal/localfleet"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+type options struct {
+	Rate     int           `long:"rate" default:"2000" description:"calls per second of the paced runs"`
+	Duration time.Duration `long:"duration" default:"5s" description:"length of each run"`
+	Rounds   int           `long:"rounds" default:"3" description:"rounds of direct and through, in turn"`
+	Service  time.Duration `long:"service-time" default:"1ms" description:"median time in the backend server"`
+	Workers  int           `long:"workers" default:"32" description:"connections"`
+	Order    bool          `long:"orders" description:"send orders with keys instead of lookups"`
+}
+
+// run is what was measured in one run.
+type run struct {
+	times  []time.Duration // from the time a call was due
+	failed int64
+	cpu    time.Duration
+	wall   time.Duration
+	allocs uint64
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	f, err := localfleet.Start(ctx, localfleet.Config{
+		CentreCount: 1, HostCount: 1, ServerCount: 8, Slots: 64, ServiceTime: o.Service,
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "latency:", err)
+		os.Exit(1)
+	}
+	defer f.Close()
+	fmt.Printf("%s, GOMAXPROCS %d, %d servers, service time %v\n", runtime.Version(), runtime.GOMAXPROCS(0), len(f.Servers), o.Service)
+	m := &meter{o: &o, fleet: f}
+	m.measure(3*time.Second, o.Rate, false) // connections and limits settle
+	m.measure(3*time.Second, o.Rate, true)
+	for _, rate := range []int{o.Rate, 0} {
+		var direct, through run
+		for range o.Rounds {
+			direct.add(m.measure(o.Duration, rate, false))
+			through.add(m.measure(o.Duration, rate, true))
+		}
+		m.print(rate, &direct, &through)
+	}
+}
+
+type meter struct {
+	o     *options
+	fleet *localfleet.Fleet
+	next  atomic.Int64
+}
+
+// measure runs calls for d, paced at rate calls per second or, with rate 0,
+// each worker one after the other.
+func (m *meter) measure(d time.Duration, rate int, through bool) *run {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	cpu, start := processorTime(), time.Now()
+	results := make([]run, m.o.Workers)
+	var wg sync.WaitGroup
+	for i := range results {
+		wg.Go(func() { m.worker(&results[i], start, d, rate, i, through) })
+	}
+	wg.Wait()
+	out := &run{cpu: processorTime() - cpu, wall: time.Since(start)}
+	runtime.ReadMemStats(&after)
+	out.allocs = after.Mallocs - before.Mallocs
+	for i := range results {
+		out.times = append(out.times, results[i].times...)
+		out.failed += results[i].failed
+	}
+	return out
+}
+
+func (m *meter) worker(r *run, start time.Time, d time.Duration, rate, i int, through bool) {
+	c := &localfleet.Client{}
+	defer c.Close()
+	address := m.fleet.Host(0).Address()
+	if !through {
+		address = m.fleet.Servers[i%len(m.fleet.Servers)].Address()
+	}
+	var keys []string
+	for n := 0; ; n++ {
+		due := time.Now()
+		if rate > 0 {
+			due = start.Add(time.Duration(float64(time.Second) * float64(n*m.o.Workers+i) / float64(rate)))
+			time.Sleep(time.Until(due))
+		}
+		if due.Sub(start) > d {
+			return
+		}
+		method, path, key, id := "GET", "/lot/1", "", ""
+		if m.o.Order {
+			method, path, id = "POST", "/orders/new", fmt.Sprint(m.next.Add(1))
+			if through {
+				if len(keys) == 0 {
+					keys = c.Keys(address, "64")
+					due = time.Now()
+				}
+				key, keys = keys[0], keys[1:]
+			}
+		}
+		a := c.Do(address, method, path, key, id)
+		r.times = append(r.times, time.Since(due))
+		if a.Err != nil || a.Status != 200 || through && a.Verdict != verdict.Ran {
+			r.failed++
+		}
+	}
+}
+
+func (r *run) add(v *run) {
+	r.times = append(r.times, v.times...)
+	r.failed += v.failed
+	r.cpu += v.cpu
+	r.wall += v.wall
+	r.allocs += v.allocs
+}
+
+func (m *meter) print(rate int, direct, through *run) {
+	title := "At saturation"
+	if rate > 0 {
+		title = fmt.Sprintf("At %d calls a second", rate)
+	}
+	fmt.Printf("\n%s, %d workers\n%-10s %9s %9s %9s %9s %12s %12s %8s\n", title, m.o.Workers, "", "p50", "p99", "p99.9", "calls/s", "cpu us/call", "allocs/call", "failed")
+	row := func(name string, r *run) (p [3]time.Duration, cpu, allocs float64) {
+		slices.Sort(r.times)
+		n := float64(len(r.times))
+		for i, q := range []float64{0.5, 0.99, 0.999} {
+			p[i] = localfleet.Quantile(r.times, q)
+		}
+		cpu, allocs = float64(r.cpu.Microseconds())/n, float64(r.allocs)/n
+		fmt.Printf("%-10s %9v %9v %9v %9.0f %12.1f %12.1f %8d\n", name, p[0].Round(time.Microsecond), p[1].Round(time.Microsecond),
+			p[2].Round(time.Microsecond), n/r.wall.Seconds(), cpu, allocs, r.failed)
+		return p, cpu, allocs
+	}
+	d, dCPU, dAllocs := row("direct", direct)
+	t, tCPU, tAllocs := row("through", through)
+	fmt.Printf("%-10s %9v %9v %9v %9s %12.1f %12.1f\n", "added", (t[0] - d[0]).Round(time.Microsecond),
+		(t[1] - d[1]).Round(time.Microsecond), (t[2] - d[2]).Round(time.Microsecond), "", tCPU-dCPU, tAllocs-dAllocs)
+	fmt.Printf("calls a second per core of the entry host: %.0f\n", 1e6/(tCPU-dCPU))
+}
+
+// processorTime returns the processor time of this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/controller/connections/connections.go
@@ -0,0 +1,69 @@
+// Package connections gives the transport its share of connections to each
+// backend server and asks it to open some ahead.
+package connections
+
+import (
+	"context"
+
+	"github.com/anvilfront/anvilfront/internal/backend"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/state"
+)
+
+// Transport keeps connections; backend.Transport is one.
+type Transport interface {
+	SetServers(servers []backend.Server)
+	Warm(address string, n int)
+}
+
+// Controller follows the manifest and the number of entry hosts.
+type Controller struct {
+	Store     *state.Store
+	Transport Transport
+
+	manifest *manifest.Manifest // last one applied; Run only
+	hosts    int                // last number applied; Run only
+}
+
+// Run follows the snapshot until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	for {
+		changed := c.Store.Changed()
+		c.apply()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Controller) apply() {
+	snap := c.Store.Load()
+	hosts := max(1, len(snap.Members.Listed))
+	if snap.Manifest == nil || snap.Manifest == c.manifest && hosts == c.hosts {
+		return
+	}
+	c.manifest, c.hosts = snap.Manifest, hosts
+	var servers []backend.Server
+	ahead := map[string]int{}
+	for id, p := range snap.Manifest.Pools {
+		for _, b := range p.Servers {
+			share := Share(b.Connections, hosts)
+			servers = append(servers, backend.Server{
+				Address: b.Address, Limit: share, PerSecond: snap.Manifest.Services[id.Service].ConnectionsPerSecond,
+			})
+			if !p.Out && !b.Leaving {
+				ahead[b.Address] = min(share, b.Slots)
+			}
+		}
+	}
+	c.Transport.SetServers(servers)
+	for address, n := range ahead {
+		c.Transport.Warm(address, n)
+	}
+}
+
+// Share returns how many of a backend server's connections one entry host may
+// have open: an equal part, and at least one.
+func Share(connections, hosts int) int { return max(1, connections/hosts) }
--- a/internal/controller/pools/pools.go
+++ b/internal/controller/pools/pools.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -91,7 +90,7 @@
 
 // Register adds the receivers of Pool.Acquire and Pool.Done.
 func (c *Controller) Register(s *peer.Server) error {
-	return errors.Wrap(s.Register("Pool", &Receiver{c}), "register pools")
+	return s.Register("Pool", &Receiver{c})
 }
 
 // Run follows manifest, leases and members until ctx ends. It must run for as
--- /dev/null
+++ b/internal/entryhost/assemble.go
@@ -0,0 +1,118 @@
+package entryhost
+
+import (
+	"crypto/tls"
+	"expvar"
+	"math/rand/v2"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/anvilfront/anvilfront/internal/backend"
+	"github.com/anvilfront/anvilfront/internal/controller/alerts"
+	"github.com/anvilfront/anvilfront/internal/controller/connections"
+	"github.com/anvilfront/anvilfront/internal/controller/leases"
+	"github.com/anvilfront/anvilfront/internal/controller/manifests"
+	"github.com/anvilfront/anvilfront/internal/controller/members"
+	"github.com/anvilfront/anvilfront/internal/controller/pause"
+	"github.com/anvilfront/anvilfront/internal/controller/pools"
+	"github.com/anvilfront/anvilfront/internal/front"
+	"github.com/anvilfront/anvilfront/internal/operator"
+	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/platform"
+	"github.com/anvilfront/anvilfront/internal/state"
+)
+
+// assemble builds the parts, from those that need no other to those that do.
+func (e *EntryHost) assemble() error {
+	s := e.settings
+	callerTLS, err := s.CallerConfig(time.Now())
+	if err != nil {
+		return err
+	}
+	peerTLS, err := peer.Security(s.Plaintext, s.PeerTLS.Certificate, s.PeerTLS.Key, s.PeerTLS.Authorities)
+	if err != nil {
+		return err
+	}
+	incarnation := rand.Uint64() | 1 // 0 means unknown
+	e.store = state.NewStore(state.Member{
+		Name: s.Name, Address: e.PeerAddress(), DataCentre: s.DataCentre, Incarnation: incarnation, Alive: true,
+	})
+	e.peerClient = peer.NewClient(peer.NewDial(peerTLS))
+	e.peerServer = peer.NewServerConfig(e.peers, peer.ServerConfig{TLS: peerTLS})
+	e.transport = backend.New(backend.Options{MaxBody: maxAnswerBytes})
+	e.assembleControllers()
+	e.assembleListeners(callerTLS)
+	for _, register := range []func(*peer.Server) error{
+		e.members.Register, e.manifests.Register, e.leases.Register, e.pools.Register,
+	} {
+		if err := register(e.peerServer); err != nil {
+			return errors.Wrap(err, "register message handlers")
+		}
+	}
+	e.publishCounters()
+	return nil
+}
+
+func (e *EntryHost) assembleControllers() {
+	s, log := e.settings, e.log
+	service := platform.New(s.Platform, nil, e.counters)
+	mc := members.Config{
+		Clock: e.clock, Store: e.store, Caller: e.peerClient, Counters: e.counters,
+		Log: log.Named("members"), Rand: newRand(), Seeds: s.Peers,
+	}
+	if service.Configured() {
+		mc.Hosts = members.PlatformHosts(service)
+	}
+	e.members = members.New(mc)
+	e.manifests = manifests.New(manifests.Config{
+		Clock: e.clock, Store: e.store, Caller: e.peerClient, Platform: service, Header: e.members.Header,
+		Counters: e.counters, Log: log.Named("manifests"), Rand: newRand(), Seeds: s.Peers,
+	})
+	e.members.OnRevision(e.manifests.Heard)
+	e.guard = &pause.Guard{
+		Clock: e.clock, Store: e.store, Resync: e.manifests.Resync, Counters: e.counters, Log: log.Named("pause"),
+	}
+	e.pools = pools.New(pools.Config{
+		Clock: e.clock, Store: e.store, Caller: e.peerClient, Gossip: e.members, Transport: e.transport,
+		Counters: e.counters, Log: log,
+	})
+	e.leases = leases.New(leases.Config{
+		Clock: e.clock, Store: e.store, Caller: e.peerClient, Gossip: e.members, Header: e.members.Header,
+		Handover: e.pools, Counters: e.counters, Log: log.Named("leases"), Rand: newRand(), Alone: len(s.Peers) == 0,
+	})
+	e.alerts = alerts.New(alerts.Config{Clock: e.clock, Store: e.store, Metrics: e.counters, Log: log})
+	e.connections = &connections.Controller{Store: e.store, Transport: e.transport}
+}
+
+func (e *EntryHost) assembleListeners(callerTLS *tls.Config) {
+	chain := e.newChain()
+	e.front = front.New(front.Options{
+		Settings: e.settings, Chain: chain, Store: e.store, Clock: e.clock,
+		Counters: e.counters, TLS: callerTLS,
+	}, e.callers)
+	collector := &operator.Collector{
+		Clock: e.clock, Store: e.store, Counters: e.counters, Version: version(), Ready: e.Ready, Alerts: e.alerts.Alerts,
+	}
+	e.operator = operator.New(operator.Config{
+		Log: e.log, Ready: e.Ready, Vars: e.counters.Map().String,
+		Status: collector.Status, Explain: collector.Explain, Alerts: e.alerts.Alerts,
+	})
+}
+
+// publishCounters adds the gauges of the edges.
+func (e *EntryHost) publishCounters() {
+	e.counters.Set("front.inflight", expvar.Func(func() any { return e.stopping.Inflight() }))
+	e.counters.Set("backend.connections", expvar.Func(func() any { return e.transport.Counts() }))
+}
+
+// newRand returns a source that is not shared.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return ""
+}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -4,22 +4,29 @@
 
 import (
 	"context"
-	"math"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/anvilfront/anvilfront/internal/backend"
 	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/controller/alerts"
+	"github.com/anvilfront/anvilfront/internal/controller/connections"
+	"github.com/anvilfront/anvilfront/internal/controller/leases"
+	"github.com/anvilfront/anvilfront/internal/controller/manifests"
+	"github.com/anvilfront/anvilfront/internal/controller/members"
+	"github.com/anvilfront/anvilfront/internal/controller/pause"
 	"github.com/anvilfront/anvilfront/internal/controller/pools"
-	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/filters"
 	"github.com/anvilfront/anvilfront/internal/front"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/operator"
+	"github.com/anvilfront/anvilfront/internal/peer"
 	"github.com/anvilfront/anvilfront/internal/settings"
 	"github.com/anvilfront/anvilfront/internal/state"
 )
@@ -27,85 +34,109 @@
 // maxAnswerBytes is the largest answer body that is read from a backend server.
 const maxAnswerBytes = 8 << 20
 
-// EntryHost is one running entry host.
+// EntryHost is one running entry host. Several may run in one process.
 type EntryHost struct {
-	log       *zap.Logger
-	settings  *settings.Settings
-	store     *state.Store
-	pools     *pools.Controller
-	front     *front.Front
-	listener  net.Listener
-	transport *backend.Transport
-	stopping  *filters.Stopping
-	wg        conc.WaitGroup
+	log      *zap.Logger
+	settings *settings.Settings
+	clock    clock.Clock
+	counters *metrics.Counters
+	store    *state.Store
+
+	callers, peers, operators net.Listener
+
+	// Controllers. Each is the only writer of its part of the state.
+	members     *members.Controller
+	manifests   *manifests.Controller
+	leases      *leases.Controller
+	pools       *pools.Controller
+	alerts      *alerts.Controller
+	connections *connections.Controller
+	guard       *pause.Guard
+
+	// Edges of the process.
+	transport  *backend.Transport
+	peerClient *peer.Client
+	peerServer *peer.Server
+	front      *front.Front
+	operator   *operator.Server
+
+	stopping *filters.Stopping
+	stage    atomic.Int32
+	abort    context.CancelFunc // ends Run without waiting for anything
+	aborted  context.Context
+	closing  sync.Once
 }
 
-// New assembles an entry host and opens its listeners.
+// New assembles an entry host and opens its listeners. Run comes next.
 func New(s *settings.Settings, log *zap.Logger) (*EntryHost, error) {
-	l, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for callers")
+	e := &EntryHost{log: log, settings: s, clock: clock.NewMonotonic(), counters: metrics.New(), stopping: filters.NewStopping()}
+	e.aborted, e.abort = context.WithCancel(context.Background())
+	for _, l := range []struct {
+		name, address string
+		to            *net.Listener
+	}{{"callers", s.Listen, &e.callers}, {"peers", s.Peer, &e.peers}, {"operators", s.Operator, &e.operators}} {
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			e.closeListeners()
+			return nil, errors.Wrapf(err, "listen for %s", l.name)
+		}
+		*l.to = opened
 	}
-	clk := clock.NewMonotonic()
-	counters := metrics.New()
-	store := state.NewStore(state.Member{Name: s.Name, Address: s.Peer, DataCentre: s.DataCentre, Alive: true})
-	p := pools.New(pools.Config{Clock: clk, Store: store, Counters: counters, Log: log})
-	transport := backend.New(backend.Options{MaxBody: maxAnswerBytes})
-	stopping := filters.NewStopping()
-	chain := filter.Chain(
-		stopping,
-		filters.Deadline{},
-		filters.Route{},
-		&filters.Retry{Clock: clk, Counters: counters},
-		&filters.Selection{Clock: clk},
-		&filters.Admission{Clock: clk, Admitter: p},
-		&filters.Dispatch{
-			Clock: clk, Admitter: p, Transport: transport, Store: store,
-			Fresh: func() bool { return !store.Stale() },
-		},
-	)
-	return &EntryHost{
-		log: log, settings: s, store: store, pools: p, listener: l, transport: transport, stopping: stopping,
-		front: front.New(front.Options{Settings: s, Chain: chain, Store: store, Clock: clk, Counters: counters}, l),
-	}, nil
+	if err := e.assemble(); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	return e, nil
 }
 
-// Address returns the address of the callers' listener.
-func (e *EntryHost) Address() string { return e.listener.Addr().String() }
-
-// Accept puts a manifest in force. Until the leases controller is assembled,
-// this process holds the lease of every pool.
-func (e *EntryHost) Accept(m *manifest.Manifest) {
-	leases := &state.Leases{Held: map[manifest.PoolID]*state.HeldLease{}, Holders: map[manifest.PoolID]string{}}
-	for id := range m.Pools {
-		held := &state.HeldLease{Pool: id}
-		held.Until.Store(math.MaxInt64)
-		leases.Held[id], leases.Holders[id] = held, e.settings.Name
+func (e *EntryHost) closeListeners() {
+	for _, l := range []net.Listener{e.callers, e.peers, e.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
 	}
-	e.store.Update(func(s *state.Snapshot) { s.Manifest, s.Leases = m, leases })
 }
 
-// Run serves until ctx ends, then stops gracefully.
-func (e *EntryHost) Run(ctx context.Context) error {
-	running, stopPools := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopPools()
-	e.wg.Go(func() { e.pools.Run(running) })
-	<-e.pools.Ready()
-	e.wg.Go(func() {
-		if err := e.front.Serve(); err != nil {
-			e.log.Named("front").Error("Listener failed.", zap.Error(err))
-		}
-	})
-	e.wg.Go(func() { e.transport.Run(running) })
-	<-ctx.Done()
-	e.stopping.Stop()
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(e.settings.StopBound))
-	defer cancel()
-	err := e.stopping.Drain(stop)
-	if err == nil {
-		err = e.front.Shutdown(stop)
+// Address returns the address of the callers' listener.
+func (e *EntryHost) Address() string { return e.callers.Addr().String() }
+
+// OperatorAddress returns the address of the operators' listener.
+func (e *EntryHost) OperatorAddress() string { return e.operators.Addr().String() }
+
+// PeerAddress returns the address of the listener for other entry hosts.
+func (e *EntryHost) PeerAddress() string { return e.peers.Addr().String() }
+
+// Counters returns the counters of this entry host.
+func (e *EntryHost) Counters() *metrics.Counters { return e.counters }
+
+// Store returns the published state, for tests and the demo.
+func (e *EntryHost) Store() *state.Store { return e.store }
+
+// Accept puts a manifest in force, unless a newer one is.
+func (e *EntryHost) Accept(m *manifest.Manifest) { e.manifests.Offer(m.Raw) }
+
+// Stages of the life cycle.
+const (
+	stageStarting int32 = iota
+	stageServing
+	stageNotice   // readiness is false, requests are still served
+	stageStopping // new requests are refused
+)
+
+// Ready reports whether the platform's balancer should send callers here, and
+// why not.
+func (e *EntryHost) Ready() (ready bool, why string) {
+	switch {
+	case e.stage.Load() == stageStarting:
+		return false, "starting"
+	case e.stage.Load() > stageServing:
+		return false, "stopping"
+	case !e.manifests.Ready():
+		return false, "no manifest in force"
+	case !pause.Fresh(e.store, e.clock.Now()):
+		return false, "the process was paused and refreshes its state"
 	}
-	stopPools()
-	e.wg.Wait()
-	return err
+	return true, ""
 }
+
+func bound(d manifest.Duration) time.Duration { return time.Duration(d) }
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -42,7 +42,9 @@
 `, b.Address()))
 	is.NoErr(err)
 	s := settings.Default()
-	s.Name, s.DataCentre, s.Listen = "eh1", "ktm1", "127.0.0.1:0"
+	s.Name, s.DataCentre, s.Plaintext = "eh1", "ktm1", true
+	s.Listen, s.Peer, s.Operator = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Notice = 0
 	e, err := New(s, zap.NewNop())
 	is.NoErr(err)
 	e.Accept(m)
