--- /dev/null
+++ b/examples/retryload/main.go
@@ -0,0 +1,120 @@
+// Command retryload measures the load that retries add when a third of the
+// backend servers shed every request: through an entry host with its retry
+// budget, through one whose budget is out of the way, and for callers that pick
+// a backend server at random and retry three times.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/anvilfront/anvilfront/internal/fake"
+	"github.com/anvilfront/anvilfront/internal/localfleet"
+)
+
+type options struct {
+	Rate     int           `long:"rate" default:"1500" description:"requests per second"`
+	Duration time.Duration `long:"duration" default:"5s" description:"length of each run"`
+}
+
+const (
+	servers = 9
+	workers = 64
+)
+
+// tally is what one run counted.
+type tally struct{ requests, served, attempts atomic.Int64 }
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	fmt.Printf("%d servers, %d of them shed every request, %d requests a second for %v\n\n", servers, servers/3, o.Rate, o.Duration)
+	fmt.Printf("%-40s %10s %10s %10s %12s\n", "", "requests", "served", "attempts", "per request")
+	for _, c := range []struct{ name, route string }{
+		{"entry host, 10% budget, 2 retries", "retries = 2\nretry_percent = 10.0"},
+		{"entry host, no bound, 3 retries", "retries = 3\nretry_percent = 100.0"},
+		{"callers, random server, 3 retries", ""},
+	} {
+		t, err := run(&o, c.route)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "retryload:", err)
+			os.Exit(1)
+		}
+		n := float64(t.requests.Load())
+		fmt.Printf("%-40s %10.0f %9.2f%% %10d %12.3f\n", c.name, n, 100*float64(t.served.Load())/n, t.attempts.Load(), float64(t.attempts.Load())/n)
+	}
+}
+
+func run(o *options, route string) (*tally, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), o.Duration+30*time.Second)
+	defer cancel()
+	f, err := localfleet.Start(ctx, localfleet.Config{
+		CentreCount: 1, HostCount: 1, ServerCount: servers, Slots: 16, ServiceTime: 2 * time.Millisecond, Lookup: route,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	send := func(c *localfleet.Client) bool { return c.Do(f.Host(0).Address(), "GET", "/lot/1", "", "").Status == 200 }
+	if route == "" {
+		send = func(c *localfleet.Client) bool { return retryThreeTimes(c, f) }
+	}
+	load(o.Rate, 2*time.Second, &tally{}, send) // limits settle before the fault
+	before := attempts(f)
+	for i := range servers / 3 {
+		f.Servers[i].Set(fake.Behaviour{ShedShare: 1})
+	}
+	t := &tally{}
+	load(o.Rate, o.Duration, t, send)
+	t.attempts.Store(attempts(f) - before)
+	return t, nil
+}
+
+// retryThreeTimes is the usual policy of a caller without a load balancer.
+func retryThreeTimes(c *localfleet.Client, f *localfleet.Fleet) bool {
+	for range 4 {
+		if c.Do(f.Servers[rand.IntN(servers)].Address(), "GET", "/lot/1", "", "").Status == 200 {
+			return true
+		}
+	}
+	return false
+}
+
+func attempts(f *localfleet.Fleet) (n int64) {
+	for _, s := range f.Servers {
+		n += s.Runs() + s.Sheds()
+	}
+	return n
+}
+
+func load(rate int, d time.Duration, t *tally, send func(*localfleet.Client) bool) {
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i := range workers {
+		wg.Go(func() {
+			c := &localfleet.Client{}
+			defer c.Close()
+			for n := i; ; n += workers {
+				due := start.Add(time.Duration(n) * time.Second / time.Duration(rate))
+				time.Sleep(time.Until(due))
+				if due.Sub(start) > d {
+					return
+				}
+				t.requests.Add(1)
+				if send(c) {
+					t.served.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -48,7 +48,11 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	return runUntilSignal(e.Run, signals, log.Named("serve"))
+	err = runUntilSignal(e.Run, signals, log.Named("serve"))
+	// After a second signal the entry host still counts and logs what is cut.
+	e.Abort()
+	<-e.Done()
+	return err
 }
 
 // runUntilSignal runs until run returns. The first signal ends run's context,
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -65,11 +65,12 @@
 	abort    context.CancelFunc // ends Run without waiting for anything
 	aborted  context.Context
 	closing  sync.Once
+	done     chan struct{} // closed when Run returns
 }
 
 // New assembles an entry host and opens its listeners. Run comes next.
 func New(s *settings.Settings, log *zap.Logger) (*EntryHost, error) {
-	e := &EntryHost{log: log, settings: s, clock: clock.NewMonotonic(), counters: metrics.New(), stopping: filters.NewStopping()}
+	e := &EntryHost{log: log, settings: s, clock: clock.NewMonotonic(), counters: metrics.New(), stopping: filters.NewStopping(), done: make(chan struct{})}
 	e.aborted, e.abort = context.WithCancel(context.Background())
 	for _, l := range []struct {
 		name, address string
--- a/internal/entryhost/life.go
+++ b/internal/entryhost/life.go
@@ -13,6 +13,7 @@
 // flight are answered, leases and order records are handed over. Abort and the
 // settings' stop bound end the stop early.
 func (e *EntryHost) Run(ctx context.Context) error {
+	defer close(e.done)
 	// The controllers outlive ctx: the stop needs them.
 	running, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -108,6 +109,9 @@
 	})
 }
 
+// Done returns a channel that is closed when Run returns.
+func (e *EntryHost) Done() <-chan struct{} { return e.done }
+
 // Abort makes Run return without waiting for requests in flight or peers. It is
 // what a second signal calls, and how tests end a host without notice.
 func (e *EntryHost) Abort() { e.abort() }
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -17,6 +18,7 @@
 // Backend is a fake backend server. The exported fields are set before Start;
 // Set changes how it behaves while it runs.
 type Backend struct {
+	Listen      string        // IP:port; default: a free loopback port
 	Slots       int           // requests it accepts at a time
 	ServiceTime time.Duration // median time of a request
 	Instance    string        // Backend-Instance; a number is added at each restart
@@ -57,11 +59,11 @@
 	LieHealthy bool
 }
 
-// Start listens on a free loopback port, or on the port before after a Stop or
-// Crash, and serves as a new instance.
+// Start listens, after a Stop or Crash on the same port as before, and serves
+// as a new instance.
 func (b *Backend) Start() error {
 	if b.address == "" {
-		b.address = "127.0.0.1:0"
+		b.address = cmp.Or(b.Listen, "127.0.0.1:0")
 	}
 	l, err := net.Listen("tcp", b.address)
 	if err != nil {
