Copy header fields with fewer allocations

Change: fields are collected in one string; the watch of a caller's connection and the cancel function of a backend connection are used again.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -28,11 +28,13 @@
 	broken    bool        // the peer closed or reset the connection
 	answered  bool        // a byte of the answer arrived
 	cancelled atomic.Bool // set from another goroutine on cancellation
+	onCancel  func()      // cancel, kept to save an allocation per request
 }
 
 func newConn(raw net.Conn) *conn {
 	c := &conn{Conn: raw}
 	c.r, c.w = bufio.NewReaderSize(c, readBuffer), bufio.NewWriter(c)
+	c.onCancel = c.cancel
 	if s, ok := raw.(syscall.Conn); ok {
 		c.raw, _ = s.SyscallConn()
 	}
--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -32,7 +32,7 @@
 		res.Err = err
 		return res, false
 	}
-	stop := context.AfterFunc(ctx, c.cancel)
+	stop := context.AfterFunc(ctx, c.onCancel)
 	defer stop()
 	if ctx.Err() != nil {
 		res.Facts.Cancelled, res.Err = true, ctx.Err()
@@ -164,12 +164,14 @@
 // decode copies the answer. For HEAD, Content-Length states the length that
 // GET would have and is kept for the front end.
 func decode(resp *fasthttp.Response) *filter.Response {
-	out := &filter.Response{Status: resp.StatusCode(), Headers: make([]filter.Header, 0, 8)}
+	out := &filter.Response{Status: resp.StatusCode()}
 	if body := resp.Body(); len(body) > 0 {
 		out.Body = append([]byte(nil), body...)
 	}
+	var f filter.Fields
 	for k, v := range resp.Header.All() {
-		out.Headers = append(out.Headers, filter.Header{Name: string(k), Value: string(v)})
+		f.Add(k, v)
 	}
+	out.Headers = f.Headers()
 	return out
 }
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -107,6 +107,7 @@
 	raw      syscall.RawConn // nil if the connection is not a socket
 	listener *listener
 	closed   atomic.Bool
+	watcher  watch
 }
 
 // Close implements net.Conn.
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -77,20 +77,21 @@
 func copyRequest(raw *fasthttp.Request) (*filter.Request, error) {
 	r := &filter.Request{
 		Method: string(raw.Header.Method()), Host: string(raw.Host()),
-		Query: string(raw.URI().QueryString()), Headers: make([]filter.Header, 0, 8),
+		Query: string(raw.URI().QueryString()),
 	}
 	if body := raw.Body(); len(body) > 0 {
 		r.Body = bytes.Clone(body)
 	}
 	named := connectionNames(raw.Header.PeekAll("Connection"))
+	var fields filter.Fields
 	for k, v := range raw.Header.All() {
-		name := string(k)
-		own := strings.HasPrefix(name, ownPrefix)
-		if hopByHop[name] || own && !fromCallers[name] || !own && named[name] {
+		own := bytes.HasPrefix(k, []byte(ownPrefix))
+		if hopByHop[string(k)] || own && !fromCallers[string(k)] || !own && named[string(k)] {
 			continue
 		}
-		r.Headers = append(r.Headers, filter.Header{Name: name, Value: string(v)})
+		fields.Add(k, v)
 	}
+	r.Headers = fields.Headers()
 	var err error
 	r.Path, err = normalPath(string(raw.URI().PathOriginal()))
 	return r, err
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -19,24 +20,32 @@
 // a packet is not seen until TCP gives up.
 type watch struct {
 	conn     *callerConn
-	gone     func()
-	timer    *time.Timer
+	gone     context.CancelFunc // of the current request
+	timer    *time.Timer        // made for the first request of the connection
 	stopping atomic.Bool
-	done     chan struct{}
+	done     chan struct{} // one token for each run
 }
 
-// watch calls gone when the caller closes the connection, until stop.
-func (c *callerConn) watch(gone func()) *watch {
-	w := &watch{conn: c, gone: gone}
-	if c.raw != nil {
-		w.done = make(chan struct{})
+// watch calls gone when the caller closes the connection, until stop. A
+// connection has one request at a time, and so one watch that is used again.
+func (c *callerConn) watch(gone context.CancelFunc) *watch {
+	w := &c.watcher
+	if c.raw == nil {
+		return w
+	}
+	w.gone = gone
+	w.stopping.Store(false)
+	if w.timer == nil {
+		w.conn, w.done = c, make(chan struct{}, 1)
 		w.timer = time.AfterFunc(watchDelay, w.run)
+	} else {
+		w.timer.Reset(watchDelay)
 	}
 	return w
 }
 
 func (w *watch) run() {
-	defer close(w.done)
+	defer func() { w.done <- struct{}{} }()
 	// The read time of the request may end while the chain runs.
 	_ = w.conn.SetReadDeadline(time.Time{})
 	if w.stopping.Load() {
