Refuse incomplete percent-encodings and test TLS for callers

Cause: decoding a path such as /%%36forders completed an encoding that the backend server would decode again, so that it read another path than the routing table. Change: a percent sign that starts no encoding is refused. Tests for the normal form of paths and for callers over TLS. Result: property test; normal forms do not change when taken twice.

--- a/internal/entryhost/life.go
+++ b/internal/entryhost/life.go
@@ -69,8 +69,8 @@
 	case <-notice.C:
 	case <-e.aborted.Done():
 	}
-	e.stage.Store(stageStopping)
 	e.stopping.Stop()
+	e.stage.Store(stageStopping)
 	ctx, cancel := context.WithTimeout(e.aborted, bound(e.settings.StopBound))
 	defer cancel()
 	if e.aborted.Err() == nil {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,8 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"math/big"
 	"net"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +19,7 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
@@ -108,6 +116,7 @@
 		{"dot segments", "GET /status/../orders HTTP/1.1\r\nHost: h\r\n\r\n", 400, "not-run", "bad_request"},
 		{"encoded dot segments", "GET /status/%2e%2E/orders HTTP/1.1\r\nHost: h\r\n\r\n", 400, "not-run", "bad_request"},
 		{"empty segment", "GET //orders HTTP/1.1\r\nHost: h\r\n\r\n", 400, "not-run", "bad_request"},
+		{"incomplete encoding", "GET /%%36forders HTTP/1.1\r\nHost: h\r\n\r\n", 400, "not-run", "bad_request"},
 		{"unknown method", "BREW /o HTTP/1.1\r\nHost: h\r\n\r\n", 501, "not-run", "bad_request"},
 		{"large body", post + "Content-Length: 101\r\n\r\n", 413, "not-run", "too_large"},
 		{"large body with key", post + key + "Content-Length: 101\r\n\r\n", 413, "may-have-run", "too_large"},
@@ -130,6 +139,62 @@
 	}
 }
 
+// TestNormalPath guards against a path that decodes further after it was
+// routed, so that a backend server reads another path than the routing table.
+func TestNormalPath(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		path := "/" + rapid.StringMatching(`([a-z%0-9./]|%[0-9a-f]{2}){0,12}`).Draw(rt, "path")
+		once, err := normalPath(path)
+		if err != nil {
+			return
+		}
+		if twice, err := normalPath(once); err != nil || twice != once {
+			rt.Fatalf("%q became %q and then %q, error %v", path, once, twice, err)
+		}
+		want, err := url.PathUnescape(path)
+		if got, err2 := url.PathUnescape(once); err != nil || err2 != nil || got != want {
+			rt.Fatalf("%q means %q, its normal form %q means %q", path, want, once, got)
+		}
+	})
+}
+
+// TestTLS guards against a listener that serves plain text or misses a caller
+// that leaves when callers use TLS.
+func TestTLS(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	is.NoErr(err)
+	f := New(Options{
+		Settings: settings.Default(), Store: state.NewStore(state.Member{}), Clock: clock.NewMonotonic(), Counters: metrics.New(),
+		TLS: &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}},
+		Chain: filter.HandlerFunc(func(ctx context.Context, x *filter.Exchange) filter.Outcome {
+			if x.Request.Path == "/wait" {
+				<-ctx.Done()
+				close(gone)
+			}
+			return ran("secret")
+		}),
+	}, l)
+	go func() { _ = f.Serve() }()
+	defer func() { _ = f.Shutdown(context.Background()) }()
+	c, err := tls.Dial("tcp", l.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+	is.NoErr(err)
+	_, _ = c.Write([]byte("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"))
+	resp := &fasthttp.Response{}
+	is.NoErr(resp.Read(bufio.NewReader(c)))
+	is.Equal(string(resp.Body()), "secret")
+	_, _ = c.Write([]byte("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"))
+	time.Sleep(2 * watchDelay)
+	_ = c.Close()
+	<-gone
+}
+
 // TestHeaders guards against spoofed or leaked headers and against lost ones,
 // in both directions.
 func TestHeaders(t *testing.T) {
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -39,6 +39,7 @@
 	errEncoding    = errors.New("transfer encoding is not supported")
 	errTarget      = errors.New("request target is not an absolute path")
 	errSegments    = errors.New("path has empty or dot segments")
+	errPercent     = errors.New("path has an incomplete percent-encoding")
 )
 
 // checkFraming refuses requests whose length another server could read
@@ -112,15 +113,18 @@
 }
 
 // normalPath decodes the percent-encoded characters that need no encoding
-// (RFC 3986, 6.2.2.2) and refuses empty and dot segments. Without this, a
-// backend server could read a path as an order that the routing table read as
+// (RFC 3986, 6.2.2.2) and refuses empty and dot segments and incomplete
+// encodings, which decoding could complete. Without this, a backend server could read a path as an order that the routing table read as
 // a lookup, and the order would be sent twice.
 func normalPath(path string) (string, error) {
 	if path == "" || path[0] != '/' {
 		return path, errTarget
 	}
 	if strings.IndexByte(path, '%') >= 0 {
-		path = decodeUnreserved(path)
+		var ok bool
+		if path, ok = decodeUnreserved(path); !ok {
+			return path, errPercent
+		}
 	}
 	for segment := range strings.SplitSeq(strings.TrimSuffix(path[1:], "/"), "/") {
 		if segment == "." || segment == ".." || segment == "" && path != "/" {
@@ -130,20 +134,25 @@
 	return path, nil
 }
 
-func decodeUnreserved(path string) string {
+// decodeUnreserved returns false when a percent sign starts no encoding.
+func decodeUnreserved(path string) (string, bool) {
 	out := make([]byte, 0, len(path))
 	for i := 0; i < len(path); i++ {
-		if path[i] == '%' && i+2 < len(path) {
-			hi, lo := hexDigit(path[i+1]), hexDigit(path[i+2])
-			if c := hi<<4 | lo; hi < 16 && lo < 16 && unreserved(c) {
-				out = append(out, c)
-				i += 2
-				continue
-			}
+		if path[i] != '%' {
+			out = append(out, path[i])
+			continue
+		}
+		if i+2 >= len(path) || hexDigit(path[i+1]) == 16 || hexDigit(path[i+2]) == 16 {
+			return path, false
+		}
+		if c := hexDigit(path[i+1])<<4 | hexDigit(path[i+2]); unreserved(c) {
+			out = append(out, c)
+		} else {
+			out = append(out, path[i:i+3]...)
 		}
-		out = append(out, path[i])
+		i += 2
 	}
-	return string(out)
+	return string(out), true
 }
 
 func hexDigit(c byte) byte {
