Refuse ambiguous targets and several order keys

Cause: a backslash or control byte in a request target can mean another path to a backend server, and two order keys name two owners. Change: both are refused with 400.

--- a/examples/demo/main.go
+++ b/examples/demo/main.go
@@ -128,7 +128,7 @@
 	began := time.Now()
 	d.say("Callers send lookups and orders.")
 	for _, step := range []func(context.Context){
-		wait(2 * time.Second), d.takeOut, d.bringBack, wait(2 * time.Second), d.replace, wait(time.Second),
+		wait(3 * time.Second), d.takeOut, d.bringBack, wait(4 * time.Second), d.replace, wait(2 * time.Second),
 	} {
 		if ctx.Err() == nil {
 			step(ctx)
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -39,6 +39,8 @@
 	errEncoding    = errors.New("transfer encoding is not supported")
 	errTarget      = errors.New("request target is not an absolute path")
 	errSegments    = errors.New("path has empty or dot segments")
+	errBytes       = errors.New("request target has bytes that a URI cannot have")
+	errKeys        = errors.New("request has several order keys")
 	errPercent     = errors.New("path has an incomplete percent-encoding")
 )
 
@@ -93,11 +95,28 @@
 		fields.Add(k, v)
 	}
 	r.Headers = fields.Headers()
+	if len(raw.Header.PeekAll(filter.HeaderOrderKey)) > 1 {
+		return r, errKeys
+	}
+	if !uriBytes(raw.URI().PathOriginal()) || !uriBytes(raw.URI().QueryString()) {
+		return r, errBytes
+	}
 	var err error
 	r.Path, err = normalPath(string(raw.URI().PathOriginal()))
 	return r, err
 }
 
+// uriBytes reports whether a part of a request target is printable ASCII
+// without backslash, which some servers read as a slash.
+func uriBytes(part []byte) bool {
+	for _, c := range part {
+		if c <= ' ' || c >= 0x7f || c == '\\' {
+			return false
+		}
+	}
+	return true
+}
+
 // connectionNames returns the header names listed in Connection fields.
 func connectionNames(fields [][]byte) map[string]bool {
 	var names map[string]bool
