--- a/internal/controller/pools/pools.go
+++ b/internal/controller/pools/pools.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -91,10 +90,7 @@
 
 // Register adds the receivers of Pool.Acquire and Pool.Done.
 func (c *Controller) Register(s *peer.Server) error {
-	if err := s.Register("Pool", &Receiver{c}); err != nil {
-		return errors.Wrap(err, "register pools")
-	}
-	return nil
+	return s.Register("Pool", &Receiver{c})
 }
 
 // Run follows manifest, leases and members until ctx ends. It must run for as
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -17,10 +18,11 @@
 // Backend is a fake backend server. The exported fields are set before Start;
 // Set changes how it behaves while it runs.
 type Backend struct {
+	Listen      string        // IP:port; default: a free loopback port
 	Slots       int           // requests it accepts at a time
 	ServiceTime time.Duration // median time of a request
 	Instance    string        // Backend-Instance; a number is added at each restart
-	ColdSlots   int           // requests it bears while cold; 0: it is never cold
+	ColdSlots   int           // requests it bears right after a start; 0: it is never cold
 	WarmAfter   int           // successes after which it is warm; default 50
 	Orders      *Orders       // record of orders that ran; may be shared; may be nil
 
@@ -57,11 +59,11 @@
 	LieHealthy bool
 }
 
-// Start listens on a free loopback port, or on the port before after a Stop or
-// Crash, and serves as a new instance.
+// Start listens, after a Stop or Crash on the same port as before, and serves
+// as a new instance.
 func (b *Backend) Start() error {
 	if b.address == "" {
-		b.address = "127.0.0.1:0"
+		b.address = cmp.Or(b.Listen, "127.0.0.1:0")
 	}
 	l, err := net.Listen("tcp", b.address)
 	if err != nil {
@@ -175,7 +177,7 @@
 		if req.Read(r) != nil {
 			return
 		}
-		x := &call{b: b, how: b.behaviour.Load(), conn: c, r: r, req: &req, resp: &resp}
+		x := &call{b: b, how: b.behaviour.Load(), conn: c, r: r, req: &req, resp: &resp, from: time.Now()}
 		if !x.handle() {
 			return
 		}
@@ -226,12 +228,18 @@
 	return time.Duration(d)
 }
 
-func (b *Backend) cold() bool {
-	after := b.WarmAfter
+// bears returns how many requests it bears at a time: ColdSlots after a start,
+// rising to Slots with its successes.
+func (b *Backend) bears() int64 {
+	after := int64(b.WarmAfter)
 	if after == 0 {
 		after = 50
 	}
-	return b.ColdSlots > 0 && b.successes.Load() < int64(after)
+	done := b.successes.Load()
+	if b.ColdSlots == 0 || done >= after {
+		return int64(b.Slots)
+	}
+	return int64(b.ColdSlots) + int64(b.Slots-b.ColdSlots)*done/after
 }
 
 func (b *Backend) instance() string {
--- a/internal/filters/retry_test.go
+++ b/internal/filters/retry_test.go
@@ -153,13 +153,19 @@
 	})
 }
 
+// noOrders owns no order key.
+type noOrders struct{ Orders }
+
+func (noOrders) Book(uint64) *Book { return nil }
+
 // TestStopping guards against a stop that cuts a request in the chain, and
 // against "not run" for a key whose owner was not asked.
 func TestStopping(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := NewStopping()
-		h := filter.Chain(s, handler(func(context.Context, *filter.Exchange) filter.Outcome {
+		guard := &OrderGuard{Clock: &clock.Manual{}, Orders: noOrders{}}
+		h := filter.Chain(guard, s, handler(func(context.Context, *filter.Exchange) filter.Outcome {
 			time.Sleep(time.Second)
 			return filter.Outcome{Verdict: verdict.Ran}
 		}))
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -39,6 +39,9 @@
 	errEncoding    = errors.New("transfer encoding is not supported")
 	errTarget      = errors.New("request target is not an absolute path")
 	errSegments    = errors.New("path has empty or dot segments")
+	errBytes       = errors.New("request target has bytes that a URI cannot have")
+	errKeys        = errors.New("request has several order keys")
+	errPercent     = errors.New("path has an incomplete percent-encoding")
 )
 
 // checkFraming refuses requests whose length another server could read
@@ -77,25 +80,43 @@
 func copyRequest(raw *fasthttp.Request) (*filter.Request, error) {
 	r := &filter.Request{
 		Method: string(raw.Header.Method()), Host: string(raw.Host()),
-		Query: string(raw.URI().QueryString()), Headers: make([]filter.Header, 0, 8),
+		Query: string(raw.URI().QueryString()),
 	}
 	if body := raw.Body(); len(body) > 0 {
 		r.Body = bytes.Clone(body)
 	}
 	named := connectionNames(raw.Header.PeekAll("Connection"))
+	var fields filter.Fields
 	for k, v := range raw.Header.All() {
-		name := string(k)
-		own := strings.HasPrefix(name, ownPrefix)
-		if hopByHop[name] || own && !fromCallers[name] || !own && named[name] {
+		own := bytes.HasPrefix(k, []byte(ownPrefix))
+		if hopByHop[string(k)] || own && !fromCallers[string(k)] || !own && named[string(k)] {
 			continue
 		}
-		r.Headers = append(r.Headers, filter.Header{Name: name, Value: string(v)})
+		fields.Add(k, v)
+	}
+	r.Headers = fields.Headers()
+	if len(raw.Header.PeekAll(filter.HeaderOrderKey)) > 1 {
+		return r, errKeys
+	}
+	if !uriBytes(raw.URI().PathOriginal()) || !uriBytes(raw.URI().QueryString()) {
+		return r, errBytes
 	}
 	var err error
 	r.Path, err = normalPath(string(raw.URI().PathOriginal()))
 	return r, err
 }
 
+// uriBytes reports whether a part of a request target is printable ASCII
+// without backslash, which some servers read as a slash.
+func uriBytes(part []byte) bool {
+	for _, c := range part {
+		if c <= ' ' || c >= 0x7f || c == '\\' {
+			return false
+		}
+	}
+	return true
+}
+
 // connectionNames returns the header names listed in Connection fields.
 func connectionNames(fields [][]byte) map[string]bool {
 	var names map[string]bool
@@ -111,15 +132,18 @@
 }
 
 // normalPath decodes the percent-encoded characters that need no encoding
-// (RFC 3986, 6.2.2.2) and refuses empty and dot segments. Without this, a
-// backend server could read a path as an order that the routing table read as
+// (RFC 3986, 6.2.2.2) and refuses empty and dot segments and incomplete
+// encodings, which decoding could complete. Without this, a backend server could read a path as an order that the routing table read as
 // a lookup, and the order would be sent twice.
 func normalPath(path string) (string, error) {
 	if path == "" || path[0] != '/' {
 		return path, errTarget
 	}
 	if strings.IndexByte(path, '%') >= 0 {
-		path = decodeUnreserved(path)
+		var ok bool
+		if path, ok = decodeUnreserved(path); !ok {
+			return path, errPercent
+		}
 	}
 	for segment := range strings.SplitSeq(strings.TrimSuffix(path[1:], "/"), "/") {
 		if segment == "." || segment == ".." || segment == "" && path != "/" {
@@ -129,20 +153,25 @@
 	return path, nil
 }
 
-func decodeUnreserved(path string) string {
+// decodeUnreserved returns false when a percent sign starts no encoding.
+func decodeUnreserved(path string) (string, bool) {
 	out := make([]byte, 0, len(path))
 	for i := 0; i < len(path); i++ {
-		if path[i] == '%' && i+2 < len(path) {
-			hi, lo := hexDigit(path[i+1]), hexDigit(path[i+2])
-			if c := hi<<4 | lo; hi < 16 && lo < 16 && unreserved(c) {
-				out = append(out, c)
-				i += 2
-				continue
-			}
+		if path[i] != '%' {
+			out = append(out, path[i])
+			continue
+		}
+		if i+2 >= len(path) || hexDigit(path[i+1]) == 16 || hexDigit(path[i+2]) == 16 {
+			return path, false
+		}
+		if c := hexDigit(path[i+1])<<4 | hexDigit(path[i+2]); unreserved(c) {
+			out = append(out, c)
+		} else {
+			out = append(out, path[i:i+3]...)
 		}
-		out = append(out, path[i])
+		i += 2
 	}
-	return string(out)
+	return string(out), true
 }
 
 func hexDigit(c byte) byte {
