Keep the doubt of an earlier attempt and fingerprint orders without key

Cause: an idempotent request whose first attempt may have run was answered 'not run' when a later attempt was refused, which is a false refusal. A deadly order sent again under a fresh key had a new fingerprint each time, so nothing stopped it. A retry beyond the budget was counted as a refusal although the caller saw another reason. Change: retry and hedge combine outcomes; the fingerprint leaves the order key out; retries_denied is a counter of its own.

--- a/internal/filters/hedge.go
+++ b/internal/filters/hedge.go
@@ -90,10 +90,14 @@
 	timer := time.NewTimer(h.wait())
 	defer timer.Stop()
 	running := 1
-	var last finish
+	var last, earlier finish
 	for running > 0 {
 		select {
 		case last = <-results:
+			if earlier.x != nil {
+				last.out = combine(earlier.out, last.out)
+			}
+			earlier = last
 			running--
 			x.Crashed, x.CrashRetry = x.Crashed || last.x.Crashed, x.CrashRetry || last.x.CrashRetry
 			if last.out.Verdict == verdict.Ran {
--- a/internal/filters/poison.go
+++ b/internal/filters/poison.go
@@ -67,13 +67,15 @@
 	return !x.CrashRetry || s.Crashes > 1
 }
 
-// Fingerprint identifies a request by route, method, path, query, order key and
-// body. It is never 0, which stands for "not computed".
+// Fingerprint identifies a request by route, method, path, query and body. The
+// order key is left out: an order that is sent again under a fresh key would
+// otherwise crash one more backend server each time. It is never 0, which
+// stands for "not computed".
 func Fingerprint(x *filter.Exchange) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	r := x.Request
-	for _, s := range [...]string{x.Route.Name, r.Method, r.Path, r.Query, x.Key} {
+	for _, s := range [...]string{x.Route.Name, r.Method, r.Path, r.Query} {
 		writeSized(&d, s)
 	}
 	_, _ = d.Write(r.Body) // a hash does not fail
--- a/internal/filters/retry.go
+++ b/internal/filters/retry.go
@@ -26,30 +26,46 @@
 func (f *Retry) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
 	b := f.budgets.get(x.Route.Name)
 	b.earn(x.Route.RetryPercent)
+	var out filter.Outcome
 	for done := 0; ; done++ {
-		out := f.attempt(ctx, x, next)
-		if out.Verdict == verdict.Ran {
+		last := f.attempt(ctx, x, next)
+		if done == 0 {
+			out = last
+		} else {
+			out = combine(out, last)
+		}
+		if last.Verdict == verdict.Ran {
 			return out
 		}
 		wait, again := decideRetry(retryInput{
-			Verdict: out.Verdict, Reason: out.Reason, Idempotent: x.Route.Idempotent, Nested: x.Nested,
+			Verdict: last.Verdict, Reason: last.Reason, Idempotent: x.Route.Idempotent, Nested: x.Nested,
 			Allowed: x.Route.Retries, Done: done, Left: x.Deadline.Sub(f.Clock.Now()),
 		}, random)
 		if !again {
 			return out
 		}
 		if !b.spend() {
-			f.Counters.Refusal(verdict.ReasonRetryBudget)
+			f.Counters.RetryDenied()
 			return out
 		}
 		if !sleep(ctx, wait) {
 			return out
 		}
-		f.Counters.Retry(out.Reason)
+		f.Counters.Retry(last.Reason)
 		x.Pool, x.Grant = nil, nil
 	}
 }
 
+// combine returns what is known of a request after two of its attempts. A later
+// attempt that was refused does not undo an earlier one that may have run.
+func combine(earlier, later filter.Outcome) filter.Outcome {
+	if earlier.Verdict == verdict.MayHaveRun && later.Verdict == verdict.NotRun {
+		earlier.Cause = later.Cause
+		return earlier
+	}
+	return later
+}
+
 // random draws from the runtime's per-thread generators, which need no lock.
 var random = rand.New(source{})
 
--- a/internal/filters/retry_test.go
+++ b/internal/filters/retry_test.go
@@ -85,6 +85,23 @@
 	})
 }
 
+// TestRetryKeepsDoubt guards against "not run" for a request whose first attempt
+// may have run and whose second one was refused, in sequence and side by side.
+func TestRetryKeepsDoubt(t *testing.T) {
+	is := is.New(t)
+	f := &Retry{Clock: &clock.Manual{}, Counters: metrics.New()}
+	attempts := 0
+	out := filter.Chain(f, handler(func(context.Context, *filter.Exchange) filter.Outcome {
+		if attempts++; attempts == 1 {
+			return filter.Unknown(verdict.ReasonAnswerCut, nil)
+		}
+		return filter.Refuse(verdict.ReasonOverload, nil)
+	})).Handle(context.Background(), exchange(true))
+	is.Equal(attempts, 2)
+	is.Equal(out.Verdict, verdict.MayHaveRun)
+	is.Equal(out.Reason, verdict.ReasonAnswerCut)
+}
+
 // TestRetryStopsWithCaller guards against retries for a caller that went away.
 func TestRetryStopsWithCaller(t *testing.T) {
 	is := is.New(t)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -15,6 +15,7 @@
 	refusals [verdict.NumReasons]*expvar.Int
 	retries  [verdict.NumReasons]*expvar.Int
 	verdicts [3]*expvar.Int
+	denied   *expvar.Int
 }
 
 // New returns counters with a row for each reason and verdict.
@@ -30,6 +31,8 @@
 		c.verdicts[v] = new(expvar.Int)
 		verdicts.Set(v.String(), c.verdicts[v])
 	}
+	c.denied = new(expvar.Int)
+	c.root.Set("retries_denied", c.denied)
 	c.root.Set("refusals", refusals)
 	c.root.Set("retries", retries)
 	c.root.Set("verdicts", verdicts)
@@ -42,6 +45,9 @@
 // Retry counts one retry, by the reason of the attempt before.
 func (c *Counters) Retry(r verdict.Reason) { c.retries[r].Add(1) }
 
+// RetryDenied counts one retry that the budget of its route did not allow.
+func (c *Counters) RetryDenied() { c.denied.Add(1) }
+
 // Verdict counts one answer to a caller.
 func (c *Counters) Verdict(v verdict.Verdict) { c.verdicts[v].Add(1) }
 
