Wait for requests in flight before a lease is handed over

Cause: a successor blocks the slots that were in use at hand-over until their run limit, 10 s by default, so that each planned stop would take the slots in use from the pool for that long. Change: Seal stops granting and waits up to 250 ms for requests in flight. A server error no longer ends the reduced limit for its server; a reset or a refused connection does.

--- a/internal/controller/pools/handover.go
+++ b/internal/controller/pools/handover.go
@@ -9,17 +9,33 @@
 	"github.com/anvilfront/anvilfront/internal/wire"
 )
 
-// Seal implements lease.Handover. It stops granting at once; requests that
-// wait are refused.
+// sealWait bounds how long Seal waits for requests in flight. What is left is
+// blocked at the successor until its run limit, 10 s by default, and costs more
+// than a short time without a holder. Most requests end within 250 ms.
+const sealWait = 250 * time.Millisecond
+
+// Seal implements lease.Handover. It stops granting at once, refuses requests
+// that wait, and waits for requests in flight for up to sealWait.
 func (c *Controller) Seal(ids []manifest.PoolID) []wire.PoolRelease {
 	holders := *c.holders.Load()
+	for _, id := range ids {
+		if h := holders[id]; h != nil {
+			h.sealed.Store(true)
+			h.poke()
+		}
+	}
+	timer := time.NewTimer(sealWait)
+	defer timer.Stop()
+	for _, id := range ids {
+		if h := holders[id]; h != nil && !h.drain(timer.C) {
+			break
+		}
+	}
 	now := c.clock.Now()
 	out := make([]wire.PoolRelease, 0, len(ids))
 	for _, id := range ids {
 		release := wire.PoolRelease{Pool: id}
 		if h := holders[id]; h != nil {
-			h.sealed.Store(true)
-			h.poke()
 			pub := h.view.Load()
 			for i, s := range pub.view.Servers {
 				instance := ""
@@ -38,6 +54,24 @@
 	return out
 }
 
+// drain waits until nothing is in flight, or returns false at timeout.
+func (h *holder) drain(timeout <-chan time.Time) bool {
+	for {
+		inflight := 0
+		for _, s := range h.view.Load().view.Servers {
+			inflight += s.Counter.Inflight()
+		}
+		if inflight == 0 {
+			return true
+		}
+		select {
+		case <-h.drained:
+		case <-timeout:
+			return false
+		}
+	}
+}
+
 // adoption is what a stopping holder handed over.
 type adoption struct {
 	release wire.PoolRelease
--- a/internal/controller/pools/holder.go
+++ b/internal/controller/pools/holder.go
@@ -44,6 +44,7 @@
 	reports chan report
 	changed chan struct{} // snapshot changed
 	freed   chan struct{} // a slot came free while requests wait
+	drained chan struct{} // a slot came free after Seal
 
 	// The fields below belong to the run goroutine.
 	pool       *balance.Pool
@@ -89,7 +90,7 @@
 	h := &holder{
 		c: c, id: id, lease: lease,
 		offers: make(chan *waiter, maxOffers), reports: make(chan report, maxReports),
-		changed: make(chan struct{}, 1), freed: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), freed: make(chan struct{}, 1), drained: make(chan struct{}, 1),
 		pool: balance.NewPool(balance.Config{}), queue: balance.NewQueue(0, c.ordering),
 	}
 	h.view.Store(&published{view: h.pool.View()})
@@ -208,6 +209,9 @@
 	if h.waiting.Load() > 0 {
 		signal(h.freed)
 	}
+	if h.sealed.Load() {
+		signal(h.drained)
+	}
 }
 
 // run is the single writer of the pool until ctx ends.
--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -346,12 +346,14 @@
 		before.warm(1, 0, 0)
 		before.hold()
 		synctest.Wait()
-		for range 3 {
-			g, _ := before.acquire(ask)
-			is.True(g != nil)
+		var last *filter.Grant
+		for range 4 {
+			last, _ = before.acquire(ask)
+			is.True(last != nil)
 		}
+		time.AfterFunc(sealWait/2, func() { before.Release(last, ran) })
 		releases := before.Seal([]manifest.PoolID{poolID})
-		is.Equal(releases[0].Inflight[0].Count, 3)
+		is.Equal(releases[0].Inflight[0].Count, 3) // one ended in time
 		is.True(releases[0].Inflight[0].Established)
 		_, reason := before.acquire(ask)
 		is.Equal(reason, verdict.ReasonNoLease)
--- a/internal/controller/pools/reduced.go
+++ b/internal/controller/pools/reduced.go
@@ -98,7 +98,7 @@
 	if s == nil {
 		return
 	}
-	if r.Crashed || r.Failed {
+	if r.Crashed || r.Reason == verdict.ReasonConnectFailed {
 		s.state.warm.Store(false)
 	}
 	if r.Instance == "" {
