Give back a grant whose reply was lost

Cause: a grant of another entry host whose reply did not arrive held its slot until the run limit, 10 s by default, and a caller that went away during the call lost the grant as well. Change: Pool.Acquire carries a token of the asker; when there is no answer the asker sends Pool.Done with the token. The call is not cancelled with the caller; a grant that comes too late for it is given back.

--- a/internal/controller/pools/grants.go
+++ b/internal/controller/pools/grants.go
@@ -17,7 +17,9 @@
 	holder  *holder
 	at      clock.Time
 	expires clock.Time
-	remote  bool // freed at expires; a local asker always releases
+	remote  bool   // freed at expires; a local asker always releases
+	asker   uint64 // incarnation of a remote asker
+	token   uint64 // of its request
 }
 
 // chunkSize is the number of grants per chunk of a backend's grant table.
--- a/internal/controller/pools/holder.go
+++ b/internal/controller/pools/holder.go
@@ -76,11 +76,14 @@
 	ask    filter.Ask
 	pool   *manifest.Pool
 	item   balance.Item
-	remote bool
+	from   *asker
 	settle atomic.Bool // set once, by the side that decides: run goroutine or asker
 	result chan result // capacity 1
 }
 
+// asker is another entry host that asks for a slot. nil stands for this one.
+type asker struct{ incarnation, token uint64 }
+
 type result struct {
 	rec    *record
 	reason verdict.Reason
@@ -110,7 +113,7 @@
 }
 
 // acquire takes a slot or waits for one. rec is nil when it is refused.
-func (h *holder) acquire(ctx context.Context, cur *manifest.Pool, ask filter.Ask, now clock.Time, remote bool) (rec *record, refusal verdict.Reason) {
+func (h *holder) acquire(ctx context.Context, cur *manifest.Pool, ask filter.Ask, now clock.Time, from *asker) (rec *record, refusal verdict.Reason) {
 	if h.sealed.Load() {
 		return nil, verdict.ReasonNoLease
 	}
@@ -119,28 +122,31 @@
 		return nil, verdict.ReasonOverload
 	}
 	if pub.pool == cur && h.waiting.Load() == 0 {
-		if rec := h.take(pub, &ask, now, remote); rec != nil {
+		if rec := h.take(pub, &ask, now, from); rec != nil {
 			return rec, verdict.ReasonNone
 		}
 	}
-	return h.wait(ctx, cur, ask, now, remote)
+	return h.wait(ctx, cur, ask, now, from)
 }
 
 // take takes a slot on the server the view prefers, or returns nil.
-func (h *holder) take(pub *published, ask *filter.Ask, now clock.Time, remote bool) *record {
+func (h *holder) take(pub *published, ask *filter.Ask, now clock.Time, from *asker) *record {
 	i := pub.view.Take(now, ask.Idempotent, ask.Avoid, rand.Uint64())
 	if i < 0 {
 		return nil
 	}
 	b := pub.backends[i]
 	rec := &record{
-		backend: b, holder: h, at: now, remote: remote,
+		backend: b, holder: h, at: now,
 		expires: now.Add(ask.RunLimit + filter.GrantStart),
 		grant: filter.Grant{
 			Pool: pub.pool, Server: pub.servers[i],
 			Holder: h.c.store.Load().Members.Self.Name, StartBy: now.Add(filter.GrantStart),
 		},
 	}
+	if from != nil {
+		rec.remote, rec.asker, rec.token = true, from.incarnation, from.token
+	}
 	// Seal sets the mark before it reads the counts: either this sees the mark
 	// or Seal sees the slot as taken.
 	if h.sealed.Load() || !b.put(rec, h.c.sequence.Add(1)) {
@@ -153,10 +159,10 @@
 
 // wait hands the request to the run goroutine and waits for its decision, the
 // end of the longest queue time, or ctx.
-func (h *holder) wait(ctx context.Context, cur *manifest.Pool, ask filter.Ask, now clock.Time, remote bool) (*record, verdict.Reason) {
+func (h *holder) wait(ctx context.Context, cur *manifest.Pool, ask filter.Ask, now clock.Time, from *asker) (*record, verdict.Reason) {
 	limit := h.queueTime(&ask)
 	w := &waiter{
-		ask: ask, pool: cur, remote: remote, result: make(chan result, 1),
+		ask: ask, pool: cur, from: from, result: make(chan result, 1),
 		item: balance.Item{
 			Priority: ask.Priority, Idempotent: ask.Idempotent, Avoid: ask.Avoid,
 			Enqueued: now, MaxWait: limit, GiveUp: now.Add(giveUpFactor * limit), Deadline: now.Add(ask.Remaining),
@@ -299,7 +305,7 @@
 		return
 	}
 	if h.queue.Len() == 0 && h.lease.Valid(now) {
-		if rec := h.take(pub, &w.ask, now, w.remote); rec != nil {
+		if rec := h.take(pub, &w.ask, now, w.from); rec != nil {
 			h.settle(w, rec, verdict.ReasonNone)
 			return
 		}
@@ -325,7 +331,7 @@
 			h.settle(w, nil, verdict.ReasonNoLease)
 			return true
 		}
-		rec := h.take(pub, &w.ask, now, w.remote)
+		rec := h.take(pub, &w.ask, now, w.from)
 		if rec != nil {
 			h.queue.Granted(it, now)
 			h.settle(w, rec, verdict.ReasonNone)
--- a/internal/controller/pools/pools.go
+++ b/internal/controller/pools/pools.go
@@ -195,7 +195,7 @@
 	}
 	if held := snap.Leases.Held[pool.ID]; held != nil && held.Valid(now) {
 		if h := (*c.holders.Load())[pool.ID]; h != nil {
-			rec, refusal := h.acquire(ctx, cur, ask, now, false)
+			rec, refusal := h.acquire(ctx, cur, ask, now, nil)
 			if rec == nil {
 				return nil, verdict.New(verdict.NotRun, refusal, nil)
 			}
--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -51,7 +51,8 @@
 // link is a peer.Caller that calls the receivers of other hosts directly.
 type link struct {
 	hosts   map[string]*host
-	drop    atomic.Bool // replies are lost
+	drop    atomic.Bool // replies of Pool.Acquire are lost
+	lose    atomic.Bool // Pool.Done does not arrive
 	refuse  atomic.Bool // nothing is sent
 	batches atomic.Int64
 }
@@ -66,10 +67,13 @@
 	case "Pool.Acquire":
 		err = r.Acquire(args.(*wire.AcquireRequest), reply.(*wire.AcquireReply))
 	case "Pool.Done":
+		if l.lose.Load() {
+			return peer.ErrUnconfirmed
+		}
 		l.batches.Add(1)
 		err = r.Done(args.(*wire.DoneRequest), reply.(*wire.DoneReply))
 	}
-	if l.drop.Load() {
+	if l.drop.Load() && method == "Pool.Acquire" {
 		<-ctx.Done()
 		return peer.ErrUnconfirmed
 	}
@@ -284,17 +288,31 @@
 		asker.Release(grants[0], ran) // a second end has no effect
 		synctest.Wait()
 		is.Equal(l.batches.Load() < 5, true) // sent together
-		l.drop.Store(true)
-		_, reason := asker.acquire(ask)
-		is.Equal(reason, verdict.ReasonGrantLost)
-		l.drop.Store(false)
-		time.Sleep(500 * time.Millisecond)
+		lost := func() {
+			l.drop.Store(true)
+			_, reason := asker.acquire(ask)
+			is.Equal(reason, verdict.ReasonGrantLost)
+			l.drop.Store(false)
+			time.Sleep(unreachableFor)
+			synctest.Wait()
+		}
+		lost()
+		grants = asker.fill()
+		is.Equal(len(grants), 4) // the asker gave the lost grant back
+		for _, g := range grants {
+			asker.Release(g, ran)
+		}
+		synctest.Wait()
+		l.lose.Store(true)
+		lost()
+		l.lose.Store(false)
 		grants = asker.fill()
 		is.Equal(len(grants), 3) // the lost grant holds its slot
 		for _, g := range grants {
 			asker.Release(g, ran)
 		}
 		time.Sleep(ask.RunLimit)
+		synctest.Wait()
 		is.Equal(len(asker.fill()), 4) // and is free after the run limit
 		is.Equal(holder.count.expired.Value(), int64(1))
 	})
--- a/internal/controller/pools/remote.go
+++ b/internal/controller/pools/remote.go
@@ -73,35 +73,41 @@
 		return nil, nil, false
 	}
 	timeout := min(ask.Remaining, filter.GrantStart)
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	// A caller that goes away does not end the call: the reply may hold a grant
+	// that must be given back.
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
+	token := c.sequence.Add(1)
 	req := &wire.AcquireRequest{
 		Header: c.header(snap), Pool: pool.ID, Route: ask.Route, Priority: ask.Priority, Idempotent: ask.Idempotent,
 		RemainingMicros: ask.Remaining.Microseconds(), RunLimitMillis: ask.RunLimit.Milliseconds(),
-		Avoid: ask.Avoid, WaitMicros: ask.Wait.Microseconds(), Spill: ask.Spill,
+		Avoid: ask.Avoid, WaitMicros: ask.Wait.Microseconds(), Spill: ask.Spill, Token: token,
 	}
 	reply := &wire.AcquireReply{}
 	err := c.caller.Call(callCtx, peer.Data, member.Address, "Pool.Acquire", req, reply)
 	switch {
 	case err == nil:
-	case ctx.Err() != nil:
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonCallerGone, err), true
 	case errors.Is(err, peer.ErrNotSent):
 		s.unreachable.Store(int64(now.Add(unreachableFor)))
 		return nil, nil, false
 	default:
 		s.unreachable.Store(int64(c.clock.Now().Add(unreachableFor)))
+		c.queueDone(s, wire.GrantDone{Pool: pool.ID, Token: token})
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonGrantLost, err), true
 	}
 	if reply.Load.Slots > 0 {
 		c.note(reply.Load)
 	}
-	g, err := c.granted(snap, name, pool, reply, now)
+	g, err := c.granted(name, pool, reply, now)
+	if g != nil && ctx.Err() != nil {
+		c.sendDone(g, filter.Report{Verdict: verdict.NotRun, Reason: verdict.ReasonCallerGone, Inflight: -1})
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonCallerGone, nil), true
+	}
 	return g, err, true
 }
 
 // granted turns a reply into a grant, if the server is still eligible here.
-func (c *Controller) granted(snap *state.Snapshot, name string, pool *manifest.Pool, reply *wire.AcquireReply, asked clock.Time) (*filter.Grant, error) {
+func (c *Controller) granted(name string, pool *manifest.Pool, reply *wire.AcquireReply, asked clock.Time) (*filter.Grant, error) {
 	if !reply.Granted {
 		reason, ok := verdict.ParseReason(reply.ReasonName)
 		if !ok || reason == verdict.ReasonNone {
@@ -140,12 +146,16 @@
 		c.count.doneDropped.Add(1)
 		return
 	}
-	select {
-	case s.queue <- wire.GrantDone{
+	c.queueDone(s, wire.GrantDone{
 		Pool: g.Pool.ID, GrantID: g.ID, Verdict: uint8(r.Verdict), ReasonName: r.Reason.String(),
 		ServiceTimeMicros: r.ServiceTime.Microseconds(), Failed: r.Failed, Crashed: r.Crashed,
 		Instance: r.Instance, Inflight: r.Inflight,
-	}:
+	})
+}
+
+func (c *Controller) queueDone(s *sender, d wire.GrantDone) {
+	select {
+	case s.queue <- d:
 	default:
 		c.count.doneDropped.Add(1)
 	}
@@ -192,6 +202,23 @@
 	c.count.doneLost.Add(int64(len(batch)))
 }
 
+// cancel ends the grant of a request whose reply was lost. Requests are not in
+// the queue any more when an asker gives up on them, so the grants in flight
+// are all there is to look at.
+func (c *Controller) cancel(pool manifest.PoolID, from asker) {
+	h := (*c.holders.Load())[pool]
+	if h == nil || from.token == 0 {
+		return
+	}
+	for _, b := range h.view.Load().backends {
+		b.each(func(rec *record) {
+			if rec.remote && rec.token == from.token && rec.asker == from.incarnation {
+				c.done(rec.grant.ID, filter.Report{Verdict: verdict.NotRun, Reason: verdict.ReasonGrantLost, Inflight: -1})
+			}
+		})
+	}
+}
+
 // Receiver answers the Pool messages of other entry hosts.
 type Receiver struct{ c *Controller }
 
@@ -218,7 +245,7 @@
 		Remaining: time.Duration(req.RemainingMicros) * time.Microsecond,
 		RunLimit:  min(time.Duration(req.RunLimitMillis)*time.Millisecond, time.Duration(cur.Service.RunLimit)),
 		Wait:      time.Duration(req.WaitMicros) * time.Microsecond, Spill: req.Spill,
-	}, now, true)
+	}, now, &asker{incarnation: req.Incarnation, token: req.Token})
 	reply.Load = h.load()
 	if rec == nil {
 		return refuse(refusal)
@@ -232,6 +259,10 @@
 	reply.Header = r.c.header(r.c.store.Load())
 	for i := range req.Done {
 		d := &req.Done[i]
+		if d.GrantID == 0 {
+			r.c.cancel(d.Pool, asker{incarnation: req.Incarnation, token: d.Token})
+			continue
+		}
 		reason, _ := verdict.ParseReason(d.ReasonName)
 		r.c.done(d.GrantID, filter.Report{
 			Verdict: verdict.Verdict(d.Verdict), Reason: reason,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -187,6 +187,9 @@
 	Avoid           []string
 	WaitMicros      int64 // longest expected time in the queue
 	Spill           bool  // grant from spare slots only
+	// Token names the request among those of the sending process, so that a
+	// grant whose reply was lost can be given back. 0 from older programs.
+	Token uint64
 }
 
 // AcquireReply grants a slot or refuses.
@@ -207,10 +210,12 @@
 	Done []GrantDone
 }
 
-// GrantDone ends one grant.
+// GrantDone ends one grant, or with GrantID 0 the grant of an AcquireRequest
+// with the same Token whose reply did not arrive.
 type GrantDone struct {
 	Pool              manifest.PoolID
 	GrantID           uint64
+	Token             uint64
 	Verdict           uint8
 	ReasonName        string
 	ServiceTimeMicros int64
