Allow for the way in service times

Cause: the service time of a request from another data centre contains a round trip, and its grant another one. With service times of 1 ms such servers would count as stragglers and their requests as overdue. Change: comparisons allow for one round trip, the age of requests for 20 ms.

--- a/internal/balance/choice.go
+++ b/internal/balance/choice.go
@@ -103,7 +103,7 @@
 // slow reports whether pool i runs much slower than a pool of another data centre.
 func slow(pools []Candidate, i int) bool {
 	for k, c := range pools {
-		if k != i && !c.Local && c.Median > 0 && pools[i].Median > slowRatio*c.Median {
+		if k != i && !c.Local && c.Median > 0 && pools[i].Median > slowRatio*c.Median+transit {
 			return true
 		}
 	}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -199,12 +199,12 @@
 }
 
 // Ages tells the ages of the requests in flight on a server. Those older than
-// four medians count as overdue. It reports whether the view changed.
+// four medians, with time for the way, count as overdue. It reports whether the view changed.
 func (p *Pool) Ages(name string, ages []time.Duration, now clock.Time) bool {
-	i, after := p.index(name), time.Duration(4*p.median()*float64(time.Second))
+	i, after := p.index(name), time.Duration(4*p.median()*float64(time.Second))+overdueSlack
 	count, oldest := 0, time.Duration(0)
 	for _, age := range ages {
-		if after > 0 && age > after {
+		if after > overdueSlack && age > after {
 			count, oldest = count+1, max(oldest, age)
 		}
 	}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -68,6 +68,11 @@
 	// jumpRatio marks a server as cold when its service time exceeds this
 	// multiple of its own long-term mean.
 	jumpRatio = 3
+	// transit is a round trip between data centres. A request of another data
+	// centre has it in its service time, which says nothing about the server.
+	transit = 3 * time.Millisecond
+	// overdueSlack is the time that a grant may take on its way and back.
+	overdueSlack = 20 * time.Millisecond
 	// minSamples is the number of service times before comparisons are made.
 	minSamples = 3
 	// baseSamples is the number of service times before the long-term mean counts.
@@ -201,14 +206,14 @@
 }
 
 // estimate returns the running mean with requests that are overdue counted as
-// service times of their present age.
+// service times of their present age, less one transit.
 func (s *server) estimate(median float64) float64 {
 	e := s.mean
 	v := min(s.oldest.Seconds(), clipRatio*median)
 	for range s.overdue {
 		e = max(e, e+alphaTime*(v-e))
 	}
-	return e
+	return e - transit.Seconds()
 }
 
 // judge updates the straggler and failing states against the pool's medians.
