--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -42,7 +42,9 @@
 `, b.Address()))
 	is.NoErr(err)
 	s := settings.Default()
-	s.Name, s.DataCentre, s.Listen = "eh1", "ktm1", "127.0.0.1:0"
+	s.Name, s.DataCentre, s.Plaintext = "eh1", "ktm1", true
+	s.Listen, s.Peer, s.Operator = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Notice = 0
 	e, err := New(s, zap.NewNop())
 	is.NoErr(err)
 	e.Accept(m)
@@ -54,7 +56,7 @@
 	req.SetRequestURI("http://" + e.Address() + "/status/7")
 	is.NoErr(fasthttp.Do(req, resp))
 	is.Equal(resp.StatusCode(), 200)
-	is.Equal(string(resp.Body()), "ok /status/7\n")
+	is.Equal(string(resp.Body()), "ok /status/7 \n")
 	is.Equal(string(resp.Header.Peek(filter.HeaderVerdict)), "ran")
 	is.Equal(b.Runs(), int64(1))
 
