--- a/internal/controller/pools/pools.go
+++ b/internal/controller/pools/pools.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -90,7 +91,10 @@
 
 // Register adds the receivers of Pool.Acquire and Pool.Done.
 func (c *Controller) Register(s *peer.Server) error {
-	return s.Register("Pool", &Receiver{c})
+	if err := s.Register("Pool", &Receiver{c}); err != nil {
+		return errors.Wrap(err, "register pools")
+	}
+	return nil
 }
 
 // Run follows manifest, leases and members until ctx ends. It must run for as
--- a/internal/filters/hedge.go
+++ b/internal/filters/hedge.go
@@ -52,7 +52,8 @@
 // attempt runs the rest of the chain once, with a second copy for an idempotent
 // request that takes long, if the service allows hedging.
 func (f *Retry) attempt(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
-	if x.Service.HedgePercent <= 0 || !x.Route.Idempotent || x.Nested {
+	// A request that crashed a backend server gets one repetition, not two.
+	if x.Service.HedgePercent <= 0 || !x.Route.Idempotent || x.Nested || x.Crashed {
 		return next.Handle(ctx, x)
 	}
 	h := f.hedges.get(x.Service.Name)
@@ -94,6 +95,7 @@
 		select {
 		case last = <-results:
 			running--
+			x.Crashed, x.CrashRetry = x.Crashed || last.x.Crashed, x.CrashRetry || last.x.CrashRetry
 			if last.out.Verdict == verdict.Ran {
 				x.Tried = last.x.Tried
 				return last.out
--- /dev/null
+++ b/internal/filters/poison_test.go
@@ -0,0 +1,196 @@
+package filters
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/anvilfront/anvilfront/internal/backend"
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+type reporter struct {
+	retry              bool
+	crashed, succeeded int
+	server             string
+	wanted             bool
+}
+
+func (r *reporter) Crashed(_ context.Context, _ uint64, server string, wantRetry bool) bool {
+	r.crashed, r.server, r.wanted = r.crashed+1, server, wantRetry
+	return r.retry
+}
+
+func (r *reporter) Succeeded(uint64) { r.succeeded++ }
+
+// TestPoisonAttempts guards against attempts after a crash that were not
+// allowed, and against a refusal that says "not run" after an attempt that may
+// have run.
+func TestPoisonAttempts(t *testing.T) {
+	died := filter.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonAnswerCut, Crashed: true}
+	ran := filter.Outcome{Verdict: verdict.Ran}
+	type refusal struct {
+		v verdict.Verdict
+		r verdict.Reason
+	}
+	for _, c := range []struct {
+		name     string
+		retry    bool
+		suspect  state.Suspect // known before each attempt
+		inner    []filter.Outcome
+		attempts int
+		reached  int // attempts that reached a backend server
+		last     refusal
+	}{
+		{"innocent", false, state.Suspect{}, []filter.Outcome{ran}, 1, 1, refusal{verdict.Ran, verdict.ReasonNone}},
+		{"suspect", false, state.Suspect{Crashes: 1, Refuse: true, Expires: 9}, nil, 1, 0, refusal{verdict.NotRun, verdict.ReasonSuspect}},
+		{"parole", false, state.Suspect{Crashes: 2, Refuse: true, Expires: 5}, []filter.Outcome{ran}, 1, 1, refusal{verdict.Ran, verdict.ReasonNone}},
+		{"no repetition", false, state.Suspect{}, []filter.Outcome{died, ran}, 2, 1, refusal{verdict.MayHaveRun, verdict.ReasonSuspect}},
+		{"one repetition", true, state.Suspect{Crashes: 1, Refuse: true, Expires: 9}, []filter.Outcome{died, died, ran}, 3, 2, refusal{verdict.MayHaveRun, verdict.ReasonSuspect}},
+		{"second crash elsewhere", true, state.Suspect{Crashes: 2, Refuse: true, Expires: 9}, []filter.Outcome{died, ran}, 2, 1, refusal{verdict.MayHaveRun, verdict.ReasonSuspect}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clk, store, rep := &clock.Manual{}, state.NewStore(state.Member{Name: "a"}), &reporter{retry: c.retry}
+			clk.Set(5)
+			p := &Poison{Clock: clk, Store: store, Reporter: rep}
+			x := &filter.Exchange{Request: &filter.Request{Path: "/"}, Route: &manifest.Route{Name: "r", Idempotent: true, Retries: 3}}
+			if c.inner == nil || !c.inner[0].Crashed {
+				publish(store, x, c.suspect)
+			}
+			reached, out := 0, filter.Outcome{}
+			next := filter.HandlerFunc(func(_ context.Context, x *filter.Exchange) filter.Outcome {
+				x.Grant = &filter.Grant{Server: &manifest.BackendServer{Name: "s1"}}
+				publish(store, x, c.suspect)
+				reached++
+				rep.retry = c.retry && reached == 1
+				return c.inner[reached-1]
+			})
+			for range c.attempts {
+				out = p.Handle(context.Background(), x, next)
+			}
+			is.Equal(reached, c.reached)
+			is.Equal(refusal{out.Verdict, out.Reason}, c.last)
+			if rep.crashed > 0 {
+				is.Equal(rep.server, "s1")
+				is.True(rep.wanted)
+			}
+			if out.Verdict == verdict.Ran && c.suspect.Crashes > 0 {
+				is.Equal(rep.succeeded, 1) // a success clears the suspect
+			}
+		})
+	}
+}
+
+func publish(store *state.Store, x *filter.Exchange, v state.Suspect) {
+	store.Update(func(s *state.Snapshot) {
+		s.Suspects = &state.Suspects{ByFingerprint: map[uint64]state.Suspect{}}
+		if v.Crashes > 0 {
+			s.Suspects.ByFingerprint[Fingerprint(x)] = v
+		}
+	})
+}
+
+// TestFingerprint guards against different requests that are refused together,
+// and against a fingerprint that allocates on the path of a request.
+func TestFingerprint(t *testing.T) {
+	part := rapid.SampledFrom([]string{"", "a", "b", "ab", "ba"})
+	draw := rapid.Custom(func(t *rapid.T) [6]string {
+		return [6]string{part.Draw(t, "route"), part.Draw(t, "method"), part.Draw(t, "path"), part.Draw(t, "query"), part.Draw(t, "key"), part.Draw(t, "body")}
+	})
+	exchange := func(p [6]string) *filter.Exchange {
+		return &filter.Exchange{Route: &manifest.Route{Name: p[0]}, Key: p[4], Request: &filter.Request{Method: p[1], Path: p[2], Query: p[3], Body: []byte(p[5])}}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := draw.Draw(t, "a"), draw.Draw(t, "b")
+		if (Fingerprint(exchange(a)) == Fingerprint(exchange(b))) != (a == b) {
+			t.Fatalf("%q and %q", a, b)
+		}
+	})
+	x := exchange([6]string{"route", "GET", "/lots/7", "a=b", "", "body"})
+	is.New(t).Equal(testing.AllocsPerRun(100, func() { Fingerprint(x) }), 0.0)
+}
+
+// TestPoisonInsideRetry guards against a route with retries, hedged or not,
+// that repeats a deadly request more often than the one time allowed.
+func TestPoisonInsideRetry(t *testing.T) {
+	for _, hedge := range []float64{0, 100} {
+		is := is.New(t)
+		rep := &reporter{retry: true}
+		p := &Poison{Clock: &clock.Manual{}, Store: state.NewStore(state.Member{Name: "a"}), Reporter: rep}
+		reached := -10 // requests that fill the retry budget
+		h := filter.Chain(&Retry{Clock: &clock.Manual{}, Counters: metrics.New()}, p,
+			handler(func(context.Context, *filter.Exchange) filter.Outcome {
+				if reached++; reached <= 0 {
+					return filter.Outcome{Verdict: verdict.Ran}
+				}
+				rep.retry = reached == 1
+				out := filter.Unknown(verdict.ReasonAnswerCut, nil)
+				out.Crashed = true
+				return out
+			}))
+		var out filter.Outcome
+		for range 11 {
+			x := exchange(true)
+			x.Service.HedgePercent = hedge
+			out = h.Handle(context.Background(), x)
+		}
+		is.Equal(reached, 2)
+		is.Equal(out.Verdict, verdict.MayHaveRun)
+		is.Equal(out.Reason, verdict.ReasonSuspect)
+	}
+}
+
+// TestDispatchSeesDeath guards against a death that looks like an ordinary
+// failure, and against a limit of this side that looks like a death.
+func TestDispatchSeesDeath(t *testing.T) {
+	for answer, want := range map[string]bool{
+		"":               true,
+		"HTTP/1.1 200 O": true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab":                           true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab":                           false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + string(make([]byte, 99)): false,
+	} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if conn, err := l.Accept(); err == nil {
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = conn.Write([]byte(answer))
+				_ = conn.Close()
+			}
+		}()
+		clk := clock.NewMonotonic()
+		d := &Dispatch{
+			Clock: clk, Admitter: noAdmitter{}, Transport: backend.New(backend.Options{MaxBody: 50}),
+			Store: state.NewStore(state.Member{Name: "a"}), Fresh: func() bool { return true },
+		}
+		x := exchange(true)
+		x.Deadline = clk.Now().Add(10 * time.Second)
+		x.Request = &filter.Request{Method: "GET", Path: "/", Host: "h"}
+		x.Grant = &filter.Grant{Server: &manifest.BackendServer{Name: "s", Address: l.Addr().String()}, StartBy: x.Deadline}
+		out := d.Handle(context.Background(), x, nil)
+		is.Equal(out.Crashed, want) // for this answer
+		is.NoErr(l.Close())
+		<-done
+	}
+}
+
+type noAdmitter struct{}
+
+func (noAdmitter) Acquire(context.Context, *manifest.Pool, filter.Ask) (*filter.Grant, error) {
+	return nil, nil
+}
+func (noAdmitter) Release(*filter.Grant, filter.Report) {}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -75,6 +75,7 @@
 	c, err = s.CallerConfig(now)
 	is.NoErr(err)
 	is.True(c.ClientCAs != nil)
+	is.NoErr((&Settings{CallerTLS: s.CallerTLS, PeerTLS: s.CallerTLS}).CheckCertificates(now))
 	for _, bad := range []struct {
 		tls  TLS
 		now  time.Time
@@ -88,8 +89,14 @@
 	} {
 		s.CallerTLS = bad.tls
 		_, err = s.CallerConfig(bad.now)
-		if err == nil || !strings.Contains(err.Error(), bad.want) || !strings.Contains(err.Error(), "caller_tls") {
-			t.Errorf("got %v, want %q", err, bad.want)
+		peers := &Settings{PeerTLS: bad.tls}
+		if peers.PeerTLS.Authorities == "" {
+			peers.PeerTLS.Authorities = good.Certificate
+		}
+		peerErr := peers.CheckCertificates(bad.now)
+		if err == nil || peerErr == nil || !strings.Contains(err.Error(), bad.want) || !strings.Contains(peerErr.Error(), bad.want) ||
+			!strings.Contains(err.Error(), "caller_tls") || !strings.Contains(peerErr.Error(), "peer_tls") {
+			t.Errorf("got %v and %v, want %q", err, peerErr, bad.want)
 		}
 	}
 }
