Run keyed orders in the chain, with a stress test over sockets

Cause: the entry host had no order keys, and no test ran orders over real sockets while hosts are killed and replaced.

Change: orderguard, orderkey, orderattempt and poison are in the chain, orders and suspects among the controllers. A stop hands order records over last, then tells peers of the successor and redirects them for 500 ms. The refusal of a keyed request is corrected by orderguard, so deadline, route and stopping say plainly not run. The look-up of copies touched the reply of a call that timed out, which net/rpc still writes to (found by the race detector).

--- a/internal/controller/orders/copies.go
+++ b/internal/controller/orders/copies.go
@@ -205,7 +205,8 @@
 			reply := &wire.LookupReply{}
 			args := &wire.LookupRequest{Header: c.Header(s), Key: key, Fingerprint: fingerprint}
 			if err := c.cfg.Peers.Call(ctx, peer.Data, to.Address, "Order.Lookup", args, reply); err != nil {
-				reply.Found = false
+				// A late answer may still be written to the reply of a call that timed out.
+				reply = &wire.LookupReply{}
 			}
 			replies <- reply
 		})
--- a/internal/entryhost/assemble.go
+++ b/internal/entryhost/assemble.go
@@ -15,8 +15,10 @@
 	"github.com/anvilfront/anvilfront/internal/controller/leases"
 	"github.com/anvilfront/anvilfront/internal/controller/manifests"
 	"github.com/anvilfront/anvilfront/internal/controller/members"
+	"github.com/anvilfront/anvilfront/internal/controller/orders"
 	"github.com/anvilfront/anvilfront/internal/controller/pause"
 	"github.com/anvilfront/anvilfront/internal/controller/pools"
+	"github.com/anvilfront/anvilfront/internal/controller/suspects"
 	"github.com/anvilfront/anvilfront/internal/front"
 	"github.com/anvilfront/anvilfront/internal/operator"
 	"github.com/anvilfront/anvilfront/internal/peer"
@@ -42,10 +44,12 @@
 	e.peerClient = peer.NewClient(peer.NewDial(peerTLS))
 	e.peerServer = peer.NewServerConfig(e.peers, peer.ServerConfig{TLS: peerTLS})
 	e.transport = backend.New(backend.Options{MaxBody: maxAnswerBytes})
-	e.assembleControllers()
+	if err := e.assembleControllers(incarnation); err != nil {
+		return err
+	}
 	e.assembleListeners(callerTLS)
 	for _, register := range []func(*peer.Server) error{
-		e.members.Register, e.manifests.Register, e.leases.Register, e.pools.Register,
+		e.members.Register, e.manifests.Register, e.leases.Register, e.pools.Register, e.orders.Register, e.suspects.Register,
 	} {
 		if err := register(e.peerServer); err != nil {
 			return errors.Wrap(err, "register message handlers")
@@ -55,7 +59,7 @@
 	return nil
 }
 
-func (e *EntryHost) assembleControllers() {
+func (e *EntryHost) assembleControllers(incarnation uint64) (err error) {
 	s, log := e.settings, e.log
 	service := platform.New(s.Platform, nil, e.counters)
 	mc := members.Config{
@@ -82,18 +86,28 @@
 		Clock: e.clock, Store: e.store, Caller: e.peerClient, Gossip: e.members, Header: e.members.Header,
 		Handover: e.pools, Counters: e.counters, Log: log.Named("leases"), Rand: newRand(), Alone: len(s.Peers) == 0,
 	})
+	e.orders, err = orders.New(orders.Config{
+		Clock: e.clock, Store: e.store, Peers: e.peerClient, Gossip: e.members, Counters: e.counters,
+		Log: log.Named("orders"), Incarnation: incarnation, Address: e.PeerAddress(),
+	})
+	e.suspects = suspects.New(suspects.Config{
+		Clock: e.clock, Store: e.store, Gossip: e.members, Caller: e.peerClient, Counters: e.counters, Log: log,
+	})
 	e.alerts = alerts.New(alerts.Config{Clock: e.clock, Store: e.store, Metrics: e.counters, Log: log})
 	e.connections = &connections.Controller{Store: e.store, Transport: e.transport}
+	return err
 }
 
 func (e *EntryHost) assembleListeners(callerTLS *tls.Config) {
 	chain := e.newChain()
+	e.orders.SetChain(chain)
 	e.front = front.New(front.Options{
-		Settings: e.settings, Chain: chain, Store: e.store, Clock: e.clock,
+		Settings: e.settings, Chain: chain, Keys: e.orders, Store: e.store, Clock: e.clock,
 		Counters: e.counters, TLS: callerTLS,
 	}, e.callers)
 	collector := &operator.Collector{
 		Clock: e.clock, Store: e.store, Counters: e.counters, Version: version(), Ready: e.Ready, Alerts: e.alerts.Alerts,
+		Servers: operator.ServerDetails(e.pools),
 	}
 	e.operator = operator.New(operator.Config{
 		Log: e.log, Ready: e.Ready, Vars: e.counters.Map().String,
--- a/internal/entryhost/chain.go
+++ b/internal/entryhost/chain.go
@@ -11,12 +11,27 @@
 func (e *EntryHost) newChain() filter.Handler {
 	fresh := func() bool { return pause.Fresh(e.store, e.clock.Now()) }
 	return filter.Chain(
-		e.stopping,         // refuses after the notice period of a stop
-		filters.Deadline{}, // absolute deadline from the caller's budget
-		filters.Route{},    // route and service
-		&filters.Retry{Clock: e.clock, Counters: e.counters},  // repeats what follows
-		&filters.Selection{Clock: e.clock},                    // chooses a pool
-		&filters.Admission{Clock: e.clock, Admitter: e.pools}, // asks the lease holder for a slot
+		// Keeps refusals of keyed requests truthful: only the owner says "not run".
+		&filters.OrderGuard{Clock: e.clock, Orders: e.orders},
+		// Refuses new requests once the notice period of a stop is over.
+		e.stopping,
+		// Turns the caller's time budget into an absolute deadline.
+		filters.Deadline{},
+		// Finds route and service.
+		filters.Route{},
+		// Runs a keyed order at its owner, at most once.
+		&filters.OrderKey{Clock: e.clock, Orders: e.orders, Peers: e.peerClient},
+		// Repeats what follows, within the route's budget.
+		&filters.Retry{Clock: e.clock, Counters: e.counters},
+		// Tells orderkey of each attempt.
+		filters.OrderAttempt{},
+		// Refuses requests that crash backend servers; judges each attempt.
+		&filters.Poison{Clock: e.clock, Store: e.store, Reporter: e.suspects},
+		// Chooses a pool, the own data centre first.
+		&filters.Selection{Clock: e.clock},
+		// Asks the lease holder of the pool for a slot.
+		&filters.Admission{Clock: e.clock, Admitter: e.pools},
+		// Sends the request, reads the answer and decides the verdict.
 		&filters.Dispatch{Clock: e.clock, Admitter: e.pools, Transport: e.transport, Store: e.store, Fresh: fresh},
 	)
 }
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -19,8 +19,10 @@
 	"github.com/anvilfront/anvilfront/internal/controller/leases"
 	"github.com/anvilfront/anvilfront/internal/controller/manifests"
 	"github.com/anvilfront/anvilfront/internal/controller/members"
+	"github.com/anvilfront/anvilfront/internal/controller/orders"
 	"github.com/anvilfront/anvilfront/internal/controller/pause"
 	"github.com/anvilfront/anvilfront/internal/controller/pools"
+	"github.com/anvilfront/anvilfront/internal/controller/suspects"
 	"github.com/anvilfront/anvilfront/internal/filters"
 	"github.com/anvilfront/anvilfront/internal/front"
 	"github.com/anvilfront/anvilfront/internal/manifest"
@@ -49,6 +51,8 @@
 	manifests   *manifests.Controller
 	leases      *leases.Controller
 	pools       *pools.Controller
+	orders      *orders.Controller
+	suspects    *suspects.Controller
 	alerts      *alerts.Controller
 	connections *connections.Controller
 	guard       *pause.Guard
--- a/internal/entryhost/life.go
+++ b/internal/entryhost/life.go
@@ -34,7 +34,7 @@
 func (e *EntryHost) start(ctx context.Context, wg *conc.WaitGroup) {
 	wg.Go(e.peerServer.Serve)
 	for _, run := range []func(context.Context){
-		e.guard.Run, e.members.Run, e.leases.Run, e.pools.Run, e.alerts.Run, e.connections.Run, e.transport.Run,
+		e.guard.Run, e.members.Run, e.leases.Run, e.pools.Run, e.orders.Run, e.suspects.Run, e.alerts.Run, e.connections.Run, e.transport.Run,
 	} {
 		wg.Go(func() { run(ctx) })
 	}
@@ -95,8 +95,22 @@
 	}
 	e.members.Leave(ctx)
 	e.leases.Stop(ctx)
+	e.orders.Stop(ctx)
+	// Tells peers of the successor of the order records, and answers those that
+	// have not heard of it with its name.
+	e.members.Leave(ctx)
+	redirect := time.NewTimer(redirectTime)
+	defer redirect.Stop()
+	select {
+	case <-redirect.C:
+	case <-ctx.Done():
+	}
 }
 
+// redirectTime is how long a stopped host still names its successor to peers.
+// Heartbeats spread the news in a fleet of today's size within it.
+const redirectTime = 500 * time.Millisecond
+
 // close ends the listeners and the connections to peers.
 func (e *EntryHost) close() {
 	e.closing.Do(func() {
@@ -109,6 +123,9 @@
 	})
 }
 
+// Stopping reports whether new requests are refused because of a stop.
+func (e *EntryHost) Stopping() bool { return e.stage.Load() == stageStopping }
+
 // Done returns a channel that is closed when Run returns.
 func (e *EntryHost) Done() <-chan struct{} { return e.done }
 
--- /dev/null
+++ b/internal/entryhost/life_test.go
@@ -0,0 +1,91 @@
+package entryhost_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/localfleet"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+func startFleet(t *testing.T, c localfleet.Config) *localfleet.Fleet {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	f, err := localfleet.Start(ctx, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// TestPlannedStop guards against a stop that cuts a request in flight, refuses
+// within the notice period, says "not run" for the key of another owner, loses
+// order records, or lets the host end before its work is handed over.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, localfleet.Config{
+		CentreCount: 1, HostCount: 3, ServerCount: 3, ServiceTime: 600 * time.Millisecond, Notice: 300 * time.Millisecond,
+	})
+	h, other := f.Host(0), f.Host(1)
+	c := &localfleet.Client{}
+	defer c.Close()
+	own, foreign := c.Keys(h.Address(), "4"), c.Keys(other.Address(), "1")
+	is.Equal(len(own), 4)
+	is.Equal(c.Do(h.Address(), "POST", "/orders/a", own[0], "a").Verdict, verdict.Ran)
+
+	ended := make(chan error, 1)
+	go func() { ended <- h.Stop() }()
+	is.NoErr(localfleet.Wait(context.Background(), func() bool { ready, _ := h.Ready(); return !ready }))
+	inFlight := make(chan localfleet.Answer, 1)
+	go func() { inFlight <- (&localfleet.Client{}).Do(h.Address(), "POST", "/orders/b", own[1], "b") }()
+	is.NoErr(localfleet.Wait(context.Background(), func() bool { return h.Stopping() }))
+	a := c.Do(h.Address(), "GET", "/lot/1", "", "")
+	is.Equal(a.Reason, "stopping")
+	is.Equal(a.Verdict, verdict.NotRun)
+	a = c.Do(h.Address(), "POST", "/orders/c", foreign[0], "c")
+	is.Equal(a.Reason, "stopping")
+	is.Equal(a.Verdict, verdict.MayHaveRun) // only its owner says "not run"
+	a = c.Do(h.Address(), "POST", "/orders/d", own[2], "d")
+	is.Equal(a.Verdict, verdict.NotRun)
+	is.Equal(len(a.Keys), 1) // the refused key is replaced
+	is.Equal((<-inFlight).Verdict, verdict.Ran)
+	is.NoErr(<-ended)
+
+	// The successor answers for the keys of the host that stopped.
+	is.Equal(c.Do(other.Address(), "POST", "/orders/a", own[0], "a").Body, "ok /orders/a a\n")
+	is.Equal(c.Do(other.Address(), "POST", "/orders/b", own[1], "b").Body, "ok /orders/b b\n")
+	is.Equal(c.Do(other.Address(), "POST", "/orders/d", own[2], "d").Reason, "key_revoked")
+	is.Equal(c.Do(other.Address(), "POST", "/orders/e", own[3], "e").Verdict, verdict.Ran)
+	is.Equal(f.Orders.Count("a")+f.Orders.Count("b")+f.Orders.Count("e"), int64(3))
+	is.Equal(f.Orders.Count("c")+f.Orders.Count("d"), int64(0))
+}
+
+// TestAbort guards against a stop that a second signal or its bound cannot end.
+func TestAbort(t *testing.T) {
+	for name, end := range map[string]func(*localfleet.Host){
+		"second signal": func(h *localfleet.Host) { h.Abort() },
+		"bound":         func(*localfleet.Host) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, localfleet.Config{
+				CentreCount: 1, HostCount: 1, ServerCount: 1, ServiceTime: time.Minute, Notice: time.Millisecond,
+				StopBound: 300 * time.Millisecond, Lookup: "deadline = \"1m\"", Service: "run_limit = \"1m\"",
+			})
+			h := f.Host(0)
+			answer := make(chan localfleet.Answer, 1)
+			go func() { answer <- (&localfleet.Client{Timeout: time.Minute}).Do(h.Address(), "GET", "/lot/1", "", "") }()
+			is.NoErr(localfleet.Wait(context.Background(), func() bool { return f.Servers[0].Runs() == 1 }))
+			ended := make(chan error, 1)
+			go func() { ended <- h.Stop() }()
+			is.NoErr(localfleet.Wait(context.Background(), h.Stopping))
+			end(h)
+			is.True(<-ended != nil) // the stop was not graceful, and says so
+			is.True((<-answer).Err != nil)
+		})
+	}
+}
--- /dev/null
+++ b/internal/entryhost/stress_test.go
@@ -0,0 +1,111 @@
+package entryhost_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/fake"
+	"github.com/anvilfront/anvilfront/internal/localfleet"
+)
+
+// ordersVariable names the environment variable with the number of orders.
+const ordersVariable = "ANVILFRONT_STRESS_ORDERS"
+
+// TestOrdersUnderFaults guards against an order that runs twice, a false "not
+// run" or "ran", and an answer that reaches another caller, over real sockets,
+// while hosts are killed and replaced, backend servers shed, crash and cut
+// answers, and callers cut connections and send again to random entry hosts.
+func TestOrdersUnderFaults(t *testing.T) {
+	is := is.New(t)
+	orders, workers := 2000, 40
+	if v, err := strconv.Atoi(os.Getenv(ordersVariable)); err == nil {
+		orders = v
+	} else if testing.Short() {
+		orders = 400
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second+time.Duration(orders)*time.Millisecond)
+	defer cancel()
+	f, err := localfleet.Start(ctx, localfleet.Config{
+		HostCount: 6, ServiceTime: 2 * time.Millisecond, ColdSlots: 3, Order: "retries = 2\nretry_percent = 20.0", Lookup: "retries = 2\nretry_percent = 20.0",
+	})
+	is.NoErr(err)
+	defer f.Close()
+	for i, s := range f.Servers {
+		how := fake.Behaviour{ResetShare: 0.002, CutShare: 0.002, WrongShare: 0.002, LateShare: 0.002, Late: 100 * time.Millisecond}
+		if i%4 == 0 {
+			how.ShedShare = 0.1
+		}
+		s.Set(how)
+	}
+	l := localfleet.NewLoad(f)
+	l.CutShare = 0.02
+	faults, stopFaults := context.WithCancel(ctx)
+	var chaos, callers sync.WaitGroup
+	chaos.Go(func() { disturb(faults, t, f) })
+	for range workers {
+		callers.Go(func() { l.Orders(ctx, orders/workers) })
+	}
+	for range workers / 4 {
+		callers.Go(func() { l.Lookups(ctx, orders/workers) })
+	}
+	callers.Wait()
+	stopFaults()
+	chaos.Wait()
+	r := l.Result()
+	report(t, r)
+	is.True(r.Orders >= int64(orders/workers*workers)/2) // enough orders were sent in time to say anything
+	is.Equal(r.Doubled, int64(0))
+	is.Equal(r.FalseNot, int64(0))
+	is.Equal(r.FalseRan, int64(0))
+	is.Equal(r.Wrong, int64(0))
+}
+
+// disturb kills or replaces entry hosts and restarts backend servers in turn.
+func disturb(ctx context.Context, t *testing.T, f *localfleet.Fleet) {
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	r := rand.New(rand.NewPCG(seed, 1))
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(700 * time.Millisecond):
+		}
+		i := r.IntN(f.HostCount)
+		switch round % 3 {
+		case 0:
+			f.Host(i).Kill()
+		case 1:
+			if err := f.Servers[r.IntN(len(f.Servers))].Restart(); err != nil {
+				t.Error(err)
+			}
+			continue
+		case 2:
+			_ = f.Host(i).Stop() // a stop that reached its bound is counted by its logs
+		}
+		if err := f.StartHost(i); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func report(t *testing.T, r localfleet.Result) {
+	t.Logf("%d orders, %d ran, %d ran twice, last words %v, %d exchanges without answer", r.Orders, r.Ran, r.Doubled, r.Finals, r.NoAnswer)
+	var names []string
+	for name := range r.Reasons {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	answers := localfleet.Sum(r.Verdicts, "order ")
+	for _, name := range names {
+		t.Logf("%-45s %6d  %5.2f%% of order answers", name, r.Reasons[name], 100*float64(r.Reasons[name])/float64(answers))
+	}
+}
--- a/internal/filters/deadline.go
+++ b/internal/filters/deadline.go
@@ -28,7 +28,7 @@
 	if text := x.Request.Get(filter.HeaderDeadline); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 32)
 		if err != nil || ms < 0 {
-			return filter.RefuseUnread(true, x.Key, verdict.ReasonBadRequest, err)
+			return filter.Refuse(verdict.ReasonBadRequest, err)
 		}
 		shorten(x, x.Arrived.Add(time.Duration(ms)*time.Millisecond))
 	}
--- a/internal/filters/retry_test.go
+++ b/internal/filters/retry_test.go
@@ -153,8 +153,8 @@
 	})
 }
 
-// TestStopping guards against a stop that cuts a request in the chain, and
-// against "not run" for a key whose owner was not asked.
+// TestStopping guards against a stop that cuts a request in the chain. The
+// entry host's TestPlannedStop covers requests with order keys.
 func TestStopping(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -169,9 +169,6 @@
 		s.Stop()
 		is.Equal(s.Inflight(), int64(1))
 		is.Equal(h.Handle(context.Background(), exchange(true)).Verdict, verdict.NotRun)
-		keyed := exchange(false)
-		keyed.Key = "key"
-		is.Equal(h.Handle(context.Background(), keyed).Verdict, verdict.MayHaveRun)
 		start := time.Now()
 		is.NoErr(s.Drain(context.Background()))
 		is.Equal(time.Since(start), time.Second)
--- a/internal/filters/route.go
+++ b/internal/filters/route.go
@@ -18,11 +18,11 @@
 func (Route) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
 	m := x.Snapshot.Manifest
 	if m == nil {
-		return filter.RefuseUnread(true, x.Key, verdict.ReasonNoRoute, nil)
+		return filter.Refuse(verdict.ReasonNoRoute, nil)
 	}
 	x.Route = m.Match(x.Request.Method, x.Request.Host, x.Request.Path)
 	if x.Route == nil {
-		return filter.RefuseUnread(true, x.Key, verdict.ReasonNoRoute, nil)
+		return filter.Refuse(verdict.ReasonNoRoute, nil)
 	}
 	x.Service = m.Services[x.Route.Service]
 	shorten(x, x.Arrived.Add(time.Duration(x.Route.Deadline)))
--- a/internal/filters/stopping.go
+++ b/internal/filters/stopping.go
@@ -23,13 +23,13 @@
 // Name implements filter.Filter.
 func (*Stopping) Name() string { return "stopping" }
 
-// Handle implements filter.Filter. A request with an order key is refused with
-// "may have run": an earlier one with the same key may have run at its owner.
+// Handle implements filter.Filter. The orderguard filter before it corrects the
+// refusal of a request with an order key.
 func (s *Stopping) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
 	s.inflight.Add(1)
 	defer s.leave()
 	if s.stopping.Load() {
-		return filter.RefuseUnread(true, x.Key, verdict.ReasonStopping, nil)
+		return filter.Refuse(verdict.ReasonStopping, nil)
 	}
 	return next.Handle(ctx, x)
 }
