--- a/examples/retryload/main.go
+++ b/examples/retryload/main.go
@@ -64,7 +64,9 @@
 		return nil, err
 	}
 	defer f.Close()
-	send := func(c *localfleet.Client) bool { return c.Do(f.Host(0).Address(), "GET", "/lot/1", "", "").Status == 200 }
+	send := func(c *localfleet.Client) bool {
+		return c.Do(f.Host(0).Address(), "GET", "/lot/1", "", "").Status == 200
+	}
 	if route == "" {
 		send = func(c *localfleet.Client) bool { return retryThreeTimes(c, f) }
 	}
--- a/internal/filters/retry_test.go
+++ b/internal/filters/retry_test.go
@@ -85,6 +85,23 @@
 	})
 }
 
+// TestRetryKeepsDoubt guards against "not run" for a request whose first attempt
+// may have run and whose second one was refused, in sequence and side by side.
+func TestRetryKeepsDoubt(t *testing.T) {
+	is := is.New(t)
+	f := &Retry{Clock: &clock.Manual{}, Counters: metrics.New()}
+	attempts := 0
+	out := filter.Chain(f, handler(func(context.Context, *filter.Exchange) filter.Outcome {
+		if attempts++; attempts == 1 {
+			return filter.Unknown(verdict.ReasonAnswerCut, nil)
+		}
+		return filter.Refuse(verdict.ReasonOverload, nil)
+	})).Handle(context.Background(), exchange(true))
+	is.Equal(attempts, 2)
+	is.Equal(out.Verdict, verdict.MayHaveRun)
+	is.Equal(out.Reason, verdict.ReasonAnswerCut)
+}
+
 // TestRetryStopsWithCaller guards against retries for a caller that went away.
 func TestRetryStopsWithCaller(t *testing.T) {
 	is := is.New(t)
@@ -153,13 +170,19 @@
 	})
 }
 
-// TestStopping guards against a stop that cuts a request in the chain. The
-// entry host's TestPlannedStop covers requests with order keys.
+// noOrders owns no order key.
+type noOrders struct{ Orders }
+
+func (noOrders) Book(uint64) *Book { return nil }
+
+// TestStopping guards against a stop that cuts a request in the chain, and
+// against "not run" for a key whose owner was not asked.
 func TestStopping(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := NewStopping()
-		h := filter.Chain(s, handler(func(context.Context, *filter.Exchange) filter.Outcome {
+		guard := &OrderGuard{Clock: &clock.Manual{}, Orders: noOrders{}}
+		h := filter.Chain(guard, s, handler(func(context.Context, *filter.Exchange) filter.Outcome {
 			time.Sleep(time.Second)
 			return filter.Outcome{Verdict: verdict.Ran}
 		}))
@@ -169,6 +192,9 @@
 		s.Stop()
 		is.Equal(s.Inflight(), int64(1))
 		is.Equal(h.Handle(context.Background(), exchange(true)).Verdict, verdict.NotRun)
+		keyed := exchange(false)
+		keyed.Key = "key"
+		is.Equal(h.Handle(context.Background(), keyed).Verdict, verdict.MayHaveRun)
 		start := time.Now()
 		is.NoErr(s.Drain(context.Background()))
 		is.Equal(time.Since(start), time.Second)
--- a/internal/filters/stopping.go
+++ b/internal/filters/stopping.go
@@ -23,8 +23,8 @@
 // Name implements filter.Filter.
 func (*Stopping) Name() string { return "stopping" }
 
-// Handle implements filter.Filter. The orderguard filter before it corrects the
-// refusal of a request with an order key.
+// Handle implements filter.Filter. The orderguard filter before this one
+// corrects the refusal of a request with an order key.
 func (s *Stopping) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
 	s.inflight.Add(1)
 	defer s.leave()
