--- a/internal/localfleet/client.go
+++ b/internal/localfleet/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -87,6 +88,10 @@
 		c.Timeout = 10 * time.Second
 	}
 	conn := c.conns[address]
+	if conn != nil && conn.closed() {
+		c.drop(address)
+		conn = nil
+	}
 	if conn == nil {
 		raw, err := net.DialTimeout("tcp", address, time.Second)
 		if err != nil {
@@ -111,6 +116,27 @@
 	return c.resp.Read(conn.r)
 }
 
+// closed reports whether the other side closed the idle connection, as a host
+// does that stops. Callers' HTTP libraries notice it the same way.
+func (c *clientConn) closed() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var one [1]byte
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return err != nil || !open
+}
+
 func (c *Client) drop(address string) {
 	if conn := c.conns[address]; conn != nil {
 		_ = conn.Close()
