Never report a call as not sent once it was written

Cause: net/rpc ends pending calls with ErrShutdown when the connection is closed here while io.EOF is read. The client took that for 'not sent' and sent the call once more; a hand-over of order records could reach two successors. Change: the client codec maps io.EOF to io.ErrUnexpectedEOF, so ErrShutdown comes only from calls that net/rpc never wrote. Result: TestSentCallIsNeverNotSent dialled twice before and once after.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -119,13 +119,23 @@
 	c.start = c.in.read
 	err := c.dec.Decode(r)
 	c.method = r.ServiceMethod
-	return err
+	return unexpected(err)
 }
 
 // ReadResponseBody implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseBody(body any) error {
 	err := c.dec.Decode(body)
 	c.traffic.Kind(c.method).Received.Add(c.in.read - c.start)
+	return unexpected(err)
+}
+
+// unexpected replaces io.EOF. When a connection that is being closed here reads
+// io.EOF, net/rpc ends the calls that were already sent with ErrShutdown, the
+// error that otherwise says that a call was never sent.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
 	return err
 }
 
