--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -73,11 +73,23 @@
 	Forward  bool   // the request came from another entry host, which is not the owner of its key
 	Key      string // order key as sent by the caller, or ""
 	Pool     *manifest.Pool
+	Spill    bool // Pool is in another data centre because the own one is full
 	Grant    *Grant
 	Tried    []string // names of backend servers that were tried
 	// BeforeDispatch, when set, runs right before the first byte may leave. An
 	// error stops the attempt unsent. The orderkey filter records the key here.
 	BeforeDispatch func() error
+	// Fingerprint identifies the request among suspects; set by the poison filter.
+	Fingerprint uint64
+	// Crashed is true once a backend server died during an attempt. CrashRetry
+	// allows one more attempt after that. Both belong to the poison filter.
+	Crashed, CrashRetry bool
+	// AfterAttempt, when set, hears the outcome of each attempt. The orderkey
+	// filter sets it; the orderattempt filter, behind the retry filter, calls it.
+	AfterAttempt func(Outcome)
+	// KeyBound is true when a NotRun outcome comes from the owner of the key,
+	// which will never run an order under it.
+	KeyBound bool
 }
 
 // Outcome is the result of a request or of one attempt.
@@ -87,6 +99,7 @@
 	Response *Response // set when Verdict is Ran and the answer is at hand
 	FreshKey string    // order key to send again with, after a binding refusal
 	Cause    error     // detail for logs; may be nil
+	Crashed  bool      // the backend server closed or reset the connection while the request ran
 }
 
 // Refuse returns the outcome of a request that did not run.
@@ -99,6 +112,18 @@
 	return Outcome{Verdict: verdict.MayHaveRun, Reason: r, Cause: cause}
 }
 
+// RefuseUnread returns the outcome of a request that did not get as far as the
+// chain, or as far as the owner of its order key. Such a request did not run,
+// but an earlier one with the same key may have, and only the owner of the key
+// can say "not run". headersRead is false when it is unknown whether the
+// request has a key.
+func RefuseUnread(headersRead bool, key string, r verdict.Reason, cause error) Outcome {
+	if headersRead && key == "" {
+		return Refuse(r, cause)
+	}
+	return Unknown(r, cause)
+}
+
 // Handler handles a request, or what is left of it after the filters before.
 type Handler interface {
 	Handle(ctx context.Context, x *Exchange) Outcome
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -53,6 +53,20 @@
 	TTLMillis   int64
 	Origin      string // entry host that observed the crash
 	Sequence    uint64 // per origin, so that old news does not replace newer
+	Server      string // backend server that died
+}
+
+// SuspectRequest tells of request fingerprints that crashed backend servers and
+// asks what the receiver knew of them before.
+type SuspectRequest struct {
+	Header
+	Suspects []Suspect
+}
+
+// SuspectReply tells what the receiver knew.
+type SuspectReply struct {
+	Header
+	Known []Suspect
 }
 
 // Successor tells which entry host took over the order records of a stopped one.
@@ -67,6 +81,12 @@
 	Free   int
 	Queued int
 	Slots  int
+	// MedianMicros is the median service time at the holder; 0 if unknown.
+	MedianMicros int64
+	// Cold names the servers of the pool that are not warm. It is meaningful
+	// to hosts whose manifest revision is not above Revision.
+	Cold     []string
+	Revision uint64
 }
 
 // Holder tells which entry host holds the lease of a pool.
@@ -165,6 +185,11 @@
 	RemainingMicros int64
 	RunLimitMillis  int64
 	Avoid           []string
+	WaitMicros      int64 // longest expected time in the queue
+	Spill           bool  // grant from spare slots only
+	// Token names the request among those of the sending process, so that a
+	// grant whose reply was lost can be given back. 0 from older programs.
+	Token uint64
 }
 
 // AcquireReply grants a slot or refuses.
@@ -185,10 +210,12 @@
 	Done []GrantDone
 }
 
-// GrantDone ends one grant.
+// GrantDone ends one grant, or with GrantID 0 the grant of an AcquireRequest
+// with the same Token whose reply did not arrive.
 type GrantDone struct {
 	Pool              manifest.PoolID
 	GrantID           uint64
+	Token             uint64
 	Verdict           uint8
 	ReasonName        string
 	ServiceTimeMicros int64
