Compute electorates only over merged lists

Cause: between a new manifest and the members that contain its entry hosts a host listed only itself, and without any list it fell back to the hosts heard of; both could make it its own majority. Change: state.Members names the manifest it contains, lease rounds wait for it, and a host that no list names and that is not alone has no electorate. leases.Start lets the assembly wait for the first round.

--- a/internal/controller/leases/leases.go
+++ b/internal/controller/leases/leases.go
@@ -30,6 +30,7 @@
 	// the news of 196 pools took half of the heartbeat bytes of 64 hosts.
 	holderNews = 2 * time.Minute
 	maxPools   = 4096 // pools in one message
+	startBound = time.Second
 )
 
 // adoptedRetries are the extra rounds after a release named this host: the
@@ -57,6 +58,7 @@
 	Config
 	start clock.Time
 	kick  chan struct{}
+	first chan struct{} // closed after the first round
 
 	mu        sync.Mutex // guards the fields below; control messages only
 	voter     *lease.Voter
@@ -65,6 +67,7 @@
 	learned   map[manifest.PoolID]string // holders heard of
 	adopted   map[manifest.PoolID]clock.Time
 	stopping  bool
+	begun     bool                  // first is closed
 	told      clock.Time            // of the last holder news
 	answered  map[string]clock.Time // last answer of each voter
 	view      *view
@@ -77,7 +80,7 @@
 func New(c Config) *Controller {
 	now := c.Clock.Now()
 	ctl := &Controller{
-		Config: c, start: now, kick: make(chan struct{}, 1),
+		Config: c, start: now, kick: make(chan struct{}, 1), first: make(chan struct{}),
 		voter: lease.NewVoter(now, true), candidate: lease.NewCandidate(c.Rand),
 		held: map[manifest.PoolID]*state.HeldLease{}, learned: map[manifest.PoolID]string{},
 		adopted:  map[manifest.PoolID]clock.Time{},
@@ -120,7 +123,7 @@
 	var known *manifest.Manifest
 	for {
 		changed := c.Store.Changed()
-		if m := c.Store.Load().Manifest; m != known {
+		if m := c.Store.Load().Members.Manifest; m != known {
 			known = m
 			c.Kick()
 		}
@@ -137,6 +140,21 @@
 	}
 }
 
+// Start returns after the first round, startBound at the latest, or at once if
+// no manifest is in force. From then on requests find a believed holder, and a
+// host that is alone holds its pools. Run must be running.
+func (c *Controller) Start(ctx context.Context) {
+	if c.Store.Load().Manifest == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, startBound)
+	defer cancel()
+	select {
+	case <-c.first:
+	case <-ctx.Done():
+	}
+}
+
 // Kick starts a round without waiting for the next renewal.
 func (c *Controller) Kick() {
 	select {
@@ -159,8 +177,8 @@
 // round sends one batch of requests to each voter.
 func (c *Controller) round(ctx context.Context, wg *conc.WaitGroup) {
 	snap := c.Store.Load()
-	if snap.Manifest == nil {
-		return
+	if snap.Manifest == nil || snap.Members.Manifest != snap.Manifest {
+		return // the members follow the manifest within milliseconds
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -185,6 +203,10 @@
 	}
 	c.tell(now)
 	c.publish()
+	if !c.begun {
+		c.begun = true
+		close(c.first)
+	}
 }
 
 // expire drops leases that ended and those of pools that no longer exist.
--- a/internal/controller/members/publish.go
+++ b/internal/controller/members/publish.go
@@ -92,6 +92,7 @@
 		Self:       c.Store.Load().Members.Self,
 		ByName:     map[string]*state.Member{},
 		Successors: map[uint64]*state.Member{},
+		Manifest:   c.manifest,
 	}
 	next.Self.Alive = true
 	next.Self.Leaving = leaving
@@ -109,8 +110,8 @@
 	}
 	self := next.Self
 	next.ByName[self.Name] = &self
-	if len(list) == 0 {
-		next.Listed = unlisted(next)
+	if len(list) == 0 && c.alone() {
+		next.Listed = []string{self.Name}
 	}
 	for _, s := range c.successors {
 		if m := next.ByName[s.Name]; m != nil {
@@ -120,24 +121,17 @@
 	c.Store.Update(func(s *state.Snapshot) { s.Members = next })
 }
 
-// unlisted stands in for the lists when neither the manifest nor the platform
-// names any entry host: the hosts that were heard of. Such lists differ for a
-// while after a start, so a fleet of several hosts should be listed.
-func unlisted(m *state.Members) []string {
-	var names []string
-	for name := range m.ByName {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Alone reports whether this host is certain to be the only entry host: no
 // peer is configured, and the manifest in force and the platform's list, both
 // read, name nobody else. It is false while one of them is missing.
 func (c *Controller) Alone() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.Seeds) == 0 && (c.Hosts == nil || c.listRead) &&
-		c.manifest != nil && c.manifest == c.Store.Load().Manifest && len(c.detector.Members()) == 0
+	return c.alone() && c.manifest != nil && c.manifest == c.Store.Load().Manifest
+}
+
+// alone leaves the manifest out. A host that no list names, and that is not
+// alone, has no electorate: it asks the holders that it hears of.
+func (c *Controller) alone() bool {
+	return len(c.Seeds) == 0 && (c.Hosts == nil || c.listRead) && len(c.detector.Members()) == 0
 }
--- a/internal/entryhost/life.go
+++ b/internal/entryhost/life.go
@@ -47,6 +47,7 @@
 		// The platform and the peers are asked first, so that no request meets
 		// a state older than theirs.
 		e.manifests.Start(ctx)
+		e.leases.Start(ctx)
 		wg.Go(func() { e.manifests.Run(ctx) })
 		if ctx.Err() != nil {
 			return
--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -175,6 +175,32 @@
 	}
 }
 
+// TestLateManifest guards against a host that takes itself for the only one
+// while the entry hosts of its first manifest are not merged yet, and against
+// one that does so because no list names anybody.
+func TestLateManifest(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		seeds []string
+	}{{3, []string{Address(1)}}, {0, []string{Address(1)}}, {3, nil}} {
+		t.Run(fmt.Sprint(c.hosts, " listed, peers ", c.seeds), func(t *testing.T) {
+			for seed := range uint64(20) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := New(seed)
+					f.Seeds = c.seeds
+					h := f.Start(0, 1) // the other hosts are down
+					defer f.StopAll()
+					time.Sleep(5 * time.Second)
+					is.True(h.Manifests.Offer(Manifest(1, c.hosts, 1, 8, 2)))
+					time.Sleep(3 * time.Second)
+					is.Equal(h.Counters.Int("leases_acquired").Value(), int64(0))
+				})
+			}
+		})
+	}
+}
+
 // TestPlatformFaults guards against an older manifest, other bytes of the same
 // revision or a refused manifest that comes into force, and against a broken
 // platform that is asked in a loop.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -38,6 +38,10 @@
 	// Listed are the names from the manifest and the platform's host list,
 	// sorted. Electorates and rendezvous orders are computed over these.
 	Listed []string
+	// Manifest is the one whose entry hosts are part of Listed; nil before the
+	// first. Electorates must not be computed while it differs from the
+	// snapshot's: a host would take itself for the only one.
+	Manifest *manifest.Manifest
 	// Successors maps the incarnation of a stopped entry host to the member
 	// that took over its order records.
 	Successors map[uint64]*Member
