--- a/internal/filters/admission.go
+++ b/internal/filters/admission.go
@@ -16,8 +16,8 @@
 }
 
 // Bounds of the expected time in a queue. A longer wait is refused on arrival,
-// so refusals stay under 5 ms; with 4 ms a pool at 80% load refused 2% in
-// examples/measure, with 8 ms 0.4%. A request that comes late to its queue,
+// so refusals stay under 5 ms. With 4 ms 1.1% were refused at 80% load while
+// one server restarted, with 8 ms 0.3% (docs/MEASUREMENTS.md). A request that comes late to its queue,
 // after other attempts, still waits for up to 1 ms.
 const (
 	waitFromArrival = 8 * time.Millisecond
