Give a failing server that may not be ejected the least work

Cause: in a pool whose share of the ejection bound is 0 a server that refuses connections stays idle and drew work at full weight. Change: its weight falls to 1/16. Tests for that and for the weighted score.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -181,6 +181,29 @@
 	is.Equal(p.Median(), 10*time.Millisecond)
 	is.True(p.View().Servers[3].Ejected)
 	is.Equal(p.View().Slots, 12)
+	// In a pool that may eject none, the others go first.
+	p, _ = testPool(3, 4, 0)
+	warm(p, 10*time.Millisecond, 0)
+	for range 6 {
+		p.Observe("b2", result(Failure), 0)
+	}
+	is.Equal(p.View().Servers[2].Weight, 1.0/16)
+	for i := range 8 {
+		is.True(p.View().Take(0, true, nil, uint64(i)) != 2)
+	}
+	is.Equal(p.View().Take(0, true, nil, 0), 2) // and it still gets what is left
+}
+
+// TestWeighted guards against a score that ignores the used share or the priority.
+func TestWeighted(t *testing.T) {
+	is := is.New(t)
+	w := &Weighted{WeightPriority: 1, WeightShare: 1, Max: 5, Entitled: [10]float64{0: 0.4, 5: 0.6}}
+	low, high := &Item{}, &Item{Priority: 5}
+	is.Equal(w.Score(high)-w.Score(low), 1.0) // nothing used yet
+	for range 100 {
+		w.Granted(5, 0)
+	}
+	is.True(w.Score(low) > w.Score(high)) // the high one used more than its share
 }
 
 // TestShedLowersLimit guards against a shed answer that is ignored or that is
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -244,8 +244,13 @@
 	}
 }
 
-// weight is the share of work relative to a server at the median, 1/16 to 1.
+// weight is the share of work relative to a server at the median, 1/16 to 1. A
+// failing server that may not be ejected gets the least, because quick failures
+// keep it idle and would draw work to it.
 func (s *server) weight(median float64) float64 {
+	if s.failing {
+		return 1.0 / 16
+	}
 	e := s.estimate(median)
 	if median <= 0 || s.samples+s.overdue < minSamples || e <= recoveredRatio*median {
 		return 1
