--- a/internal/controller/pools/host_test.go
+++ b/internal/controller/pools/host_test.go
@@ -153,4 +153,3 @@
 }
 
 var ran = filter.Report{Verdict: verdict.Ran, ServiceTime: time.Millisecond, Inflight: -1}
-
