Hand over in parts and keep order messages within the peers' limit

Cause: peers refuse messages above 4 MiB and close the connection. A hand-over of a full ledger, a batch of copies of large answers and a forwarded order with a large body or answer exceeded it. A stopping host whose filters refuse before orderkey did not name its successor.

Change: a hand-over is sent in parts of 1 MiB; only the last part completes it, so a transfer that fails earlier may go to another host. Batches of copies, forwarded bodies and their answers are bounded. Books taken over keep no more bytes together than the own ledger may.

--- a/internal/controller/orders/copies.go
+++ b/internal/controller/orders/copies.go
@@ -27,8 +27,13 @@
 // when there is none. It covers a round trip between two regions.
 const lookupLimit = 250 * time.Millisecond
 
-// maxBatch is the largest number of copies in one message.
-const maxBatch = 64
+// maxBatch is the largest number of copies in one message, and maxBatchBytes
+// the size of their answers after which no further one is added. Peers refuse
+// messages above 4 MiB.
+const (
+	maxBatch      = 64
+	maxBatchBytes = 1 << 20
+)
 
 // rank returns up to limit members by rendezvous hash of the incarnation,
 // highest first, among those that accept returns true for.
@@ -115,9 +120,11 @@
 // batch adds to first what waits in the queue, by incarnation.
 func (c *Controller) batch(first queued) map[uint64][]queued {
 	out := map[uint64][]queued{first.key.Incarnation: {first}}
-	for range maxBatch - 1 {
+	size := len(first.copy.Body)
+	for n := 1; n < maxBatch && size < maxBatchBytes; n++ {
 		select {
 		case next := <-c.queue:
+			size += len(next.copy.Body)
 			out[next.key.Incarnation] = append(out[next.key.Incarnation], next)
 		default:
 			return out
@@ -205,7 +212,8 @@
 			reply := &wire.LookupReply{}
 			args := &wire.LookupRequest{Header: c.Header(s), Key: key, Fingerprint: fingerprint}
 			if err := c.cfg.Peers.Call(ctx, peer.Data, to.Address, "Order.Lookup", args, reply); err != nil {
-				reply.Found = false
+				// A late answer may still be written to the reply of a call that timed out.
+				reply = &wire.LookupReply{}
 			}
 			replies <- reply
 		})
--- a/internal/controller/orders/handover.go
+++ b/internal/controller/orders/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -14,9 +16,9 @@
 	"github.com/anvilfront/anvilfront/internal/wire"
 )
 
-// maxAdopted bounds the books taken over from others. Each one is bounded by
-// ledger.Config and goes when its last key expires, so 16 cover the planned
-// stops of a whole fleet today within one key life.
+// maxAdopted bounds the books taken over from others. Together they keep no
+// more bytes than the own ledger may, and each goes when its last key expires,
+// so 16 cover the planned stops of a whole fleet today within one key life.
 const maxAdopted = 16
 
 // maxRemembered bounds the incarnations remembered as taken over. At 60
@@ -94,18 +96,23 @@
 func (c *Controller) transfer(ctx context.Context, s *state.Snapshot, to *state.Member, incarnation uint64, payload []byte) transferResult {
 	ctx, cancel := context.WithTimeout(ctx, transferLimit)
 	defer cancel()
-	reply := &wire.HandOverReply{}
-	args := &wire.HandOverRequest{Header: c.Header(s), Owner: incarnation, Payload: payload}
-	err := c.cfg.Peers.Call(ctx, peer.Data, to.Address, "Order.HandOver", args, reply)
-	remote, answered := errors.Into[*peer.RemoteError](err)
-	switch {
-	case err == nil && reply.Accepted:
-		return transferAccepted
-	case err == nil, errors.Is(err, peer.ErrNotSent), answered && remote != nil:
-		return transferRefused
-	default:
+	parts := slices.Collect(slices.Chunk(payload, c.cfg.PartBytes))
+	for i, part := range parts {
+		reply := &wire.HandOverReply{}
+		args := &wire.HandOverRequest{Header: c.Header(s), Owner: incarnation, Payload: part, Part: i, Parts: len(parts)}
+		err := c.cfg.Peers.Call(ctx, peer.Data, to.Address, "Order.HandOver", args, reply)
+		if err == nil && reply.Accepted {
+			continue
+		}
+		_, answered := errors.Into[*peer.RemoteError](err)
+		// Only the last part completes a transfer, so one that fails earlier is
+		// certain not to have happened.
+		if i < len(parts)-1 || err == nil || answered || errors.Is(err, peer.ErrNotSent) {
+			return transferRefused
+		}
 		return transferUnconfirmed
 	}
+	return transferAccepted
 }
 
 // successors returns the entry hosts to hand over to, best first. Those in the
@@ -145,9 +152,6 @@
 // adopt takes over the book of a stopped incarnation. A repeated transfer of
 // the same book is confirmed again and changes nothing.
 func (c *Controller) adopt(incarnation uint64, payload []byte) bool {
-	if c.own.Sealed() || incarnation == c.cfg.Incarnation {
-		return false
-	}
 	now := c.cfg.Clock.Now()
 	l, secret, err := ledger.Import(payload, now, c.cfg.Ledger)
 	if err != nil {
@@ -155,7 +159,7 @@
 		return false
 	}
 	accepted := c.edit(func(b books) bool {
-		live := 0
+		live, bytes := 0, l.Usage().Bytes
 		for inc, book := range b {
 			switch {
 			case inc == c.cfg.Incarnation || book == nil:
@@ -163,13 +167,14 @@
 				b[inc] = nil
 			default:
 				live++
+				bytes += book.Usage().Bytes
 			}
 		}
 		if _, known := b[incarnation]; known {
 			return true
 		}
 		b[incarnation] = &filters.Book{Ledger: l, Secret: secret}
-		return live < maxAdopted && len(b) <= maxRemembered
+		return live < maxAdopted && len(b) <= maxRemembered && bytes <= c.cfg.Ledger.MaxBytes
 	})
 	if accepted {
 		self := c.cfg.Store.Load().Members.Self.Name
@@ -177,3 +182,62 @@
 	}
 	return accepted
 }
+
+// incoming collects the parts of transfers. It is not on the path of a request.
+type incoming struct {
+	mu    sync.Mutex
+	parts map[uint64]*partial
+}
+
+type partial struct {
+	next    int
+	payload []byte
+}
+
+// maxIncoming bounds the transfers that are received at the same time.
+const maxIncoming = 4
+
+// add stores a part. It returns the payload once it is complete; ok is false
+// when the part is refused.
+func (in *incoming) add(owner uint64, part, parts int, data []byte, limit int64) (payload []byte, ok bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	p := in.parts[owner]
+	if part == 0 {
+		if p == nil && len(in.parts) >= maxIncoming {
+			clear(in.parts) // transfers that their senders gave up
+		}
+		p = &partial{}
+		in.parts[owner] = p
+	}
+	if p == nil || part != p.next || int64(len(p.payload)+len(data)) > limit {
+		return nil, false
+	}
+	p.payload = append(p.payload, data...)
+	p.next++
+	if p.next < parts {
+		return nil, true
+	}
+	delete(in.parts, owner)
+	return p.payload, true
+}
+
+// maxPayload bounds a whole hand-over in bytes: the kept answers, and for each
+// record and key what is around them.
+func (c *Controller) maxPayload() int64 {
+	const perRecord, perKey, header = 1 << 10, 1, 1 << 10
+	l := c.cfg.Ledger
+	return l.MaxBytes + int64(l.MaxRecords)*perRecord + int64(l.Window)*perKey + header
+}
+
+// receive takes one part of a hand-over.
+func (c *Controller) receive(req *wire.HandOverRequest) bool {
+	if c.own.Sealed() || req.Owner == c.cfg.Incarnation {
+		return false
+	}
+	payload, ok := c.incoming.add(req.Owner, req.Part, req.Parts, req.Payload, c.maxPayload())
+	if !ok || payload == nil {
+		return ok
+	}
+	return c.adopt(req.Owner, payload)
+}
--- a/internal/controller/orders/orders.go
+++ b/internal/controller/orders/orders.go
@@ -44,6 +44,7 @@
 	CopyCount   int           // copies kept for others; 0: 16384
 	CopyBytes   int64         // bytes of copies kept for others; 0: 32 MiB
 	QueueLength int           // copies waiting to be sent; 0: 1024
+	PartBytes   int           // of a hand-over in one message; 0: 1 MiB
 }
 
 // books are the books by incarnation. A nil book stands for one that was taken
@@ -53,18 +54,19 @@
 
 // Controller implements filters.Orders.
 type Controller struct {
-	cfg     Config
-	owner   netip.AddrPort
-	own     *filters.Book
-	books   atomic.Pointer[books]
-	moved   atomic.Pointer[map[uint64]string] // incarnation to confirmed successor
-	copies  *ledger.Copies
-	queue   chan queued
-	chain   atomic.Pointer[filter.Handler]
-	runs    conc.WaitGroup
-	dropped *expvar.Int // copies not sent or not stored
-	found   *expvar.Int // orders answered from a copy
-	panicks *expvar.Int
+	cfg      Config
+	owner    netip.AddrPort
+	own      *filters.Book
+	books    atomic.Pointer[books]
+	moved    atomic.Pointer[map[uint64]string] // incarnation to confirmed successor
+	copies   *ledger.Copies
+	queue    chan queued
+	incoming incoming
+	chain    atomic.Pointer[filter.Handler]
+	runs     conc.WaitGroup
+	dropped  *expvar.Int // copies not sent or not stored
+	found    *expvar.Int // orders answered from a copy
+	panicks  *expvar.Int
 }
 
 // New returns a controller. The address must be an IP address and a port.
@@ -85,14 +87,20 @@
 	if cfg.QueueLength == 0 {
 		cfg.QueueLength = 1 << 10
 	}
+	if cfg.PartBytes == 0 {
+		// Peers refuse messages above 4 MiB, and orders that share the
+		// connection wait behind each part.
+		cfg.PartBytes = 1 << 20
+	}
 	c := &Controller{
 		cfg: cfg, owner: owner,
-		own:     &filters.Book{Ledger: ledger.New(cfg.Ledger), Secret: orderkey.NewSecret()},
-		copies:  ledger.NewCopies(cfg.CopyCount, cfg.CopyBytes),
-		queue:   make(chan queued, cfg.QueueLength),
-		dropped: cfg.Counters.Int("orders_copies_dropped"),
-		found:   cfg.Counters.Int("orders_answered_from_copy"),
-		panicks: cfg.Counters.Int("orders_panics"),
+		own:      &filters.Book{Ledger: ledger.New(cfg.Ledger), Secret: orderkey.NewSecret()},
+		copies:   ledger.NewCopies(cfg.CopyCount, cfg.CopyBytes),
+		queue:    make(chan queued, cfg.QueueLength),
+		incoming: incoming{parts: map[uint64]*partial{}},
+		dropped:  cfg.Counters.Int("orders_copies_dropped"),
+		found:    cfg.Counters.Int("orders_answered_from_copy"),
+		panicks:  cfg.Counters.Int("orders_panics"),
 	}
 	c.books.Store(&books{cfg.Incarnation: c.own})
 	c.moved.Store(&map[uint64]string{})
--- a/internal/controller/orders/service.go
+++ b/internal/controller/orders/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/filters"
 	"github.com/anvilfront/anvilfront/internal/peer"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 	"github.com/anvilfront/anvilfront/internal/wire"
@@ -47,6 +48,11 @@
 	out := (*chain).Handle(context.Background(), x)
 	reply.Verdict, reply.ReasonName, reply.FreshKey = uint8(out.Verdict), out.Reason.String(), out.FreshKey
 	reply.Status, reply.Headers, reply.Body = encode(out.Response)
+	if len(reply.Body) > filters.MaxForward {
+		// Peers refuse a larger message, which would end the other calls too.
+		reply.Status, reply.Headers, reply.Body = 0, nil, nil
+		reply.ReasonName = verdict.ReasonNotKept.String()
+	}
 	if out.Verdict == verdict.MayHaveRun && out.Reason == verdict.ReasonOwnerSealed {
 		reply.Sealed, reply.Successor = true, c.successor(req.Key)
 	}
@@ -70,6 +76,6 @@
 // HandOver takes over the records of a stopping entry host.
 func (s *Service) HandOver(req *wire.HandOverRequest, reply *wire.HandOverReply) error {
 	reply.Header = s.c.Header(s.c.cfg.Store.Load())
-	reply.Accepted = s.c.adopt(req.Owner, req.Payload)
+	reply.Accepted = s.c.receive(req)
 	return nil
 }
--- a/internal/filters/orderforward.go
+++ b/internal/filters/orderforward.go
@@ -56,6 +56,9 @@
 // forward sends the order to its owner or successor. If that one reports a
 // successor, the order follows it once.
 func (f *OrderKey) forward(ctx context.Context, x *filter.Exchange, k *orderkey.Key, to string) filter.Outcome {
+	if len(x.Request.Body) > MaxForward {
+		return filter.Unknown(verdict.ReasonTooLarge, nil)
+	}
 	var out filter.Outcome
 	for range 2 {
 		reply, err := f.submit(ctx, x, to)
@@ -88,6 +91,10 @@
 	return filter.Unknown(verdict.ReasonOwnerUnconfirmed, err)
 }
 
+// MaxForward is the largest body in bytes that is forwarded or comes back.
+// Peers refuse messages above 4 MiB; the rest is for headers.
+const MaxForward = 3 << 20
+
 // maxForwardMargin is kept back from the time budget of a forwarded order for
 // the way back, because an overdue call closes the connection to the owner for
 // all orders on it. Entry hosts are 1.5 ms apart one way.
--- a/internal/filters/orderguard.go
+++ b/internal/filters/orderguard.go
@@ -33,21 +33,24 @@
 // Settle returns what may be said of a keyed request that was refused with
 // "not run" by a part that does not know the order's record.
 func (g *OrderGuard) Settle(x *filter.Exchange, out filter.Outcome) filter.Outcome {
-	if g.revoke(x.Key) {
+	k, err := orderkey.Decode(x.Key)
+	if err != nil {
+		return filter.Unknown(out.Reason, out.Cause)
+	}
+	book := g.Orders.Book(k.Incarnation)
+	switch {
+	case book == nil || !book.Secret.Verify(&k):
+		return filter.Unknown(out.Reason, out.Cause)
+	case book.Revoke(g.Clock.Now(), k.Sequence, k.Expiry):
 		x.KeyBound = true
 		if keys, err := g.Orders.Issue(1); err == nil {
 			out.FreshKey = keys[0]
 		}
 		return out
+	case book.Sealed():
+		// The successor knows the order; the sender of a forward is told its name.
+		return filter.Unknown(verdict.ReasonOwnerSealed, out.Cause)
+	default:
+		return filter.Unknown(out.Reason, out.Cause)
 	}
-	return filter.Unknown(out.Reason, out.Cause)
-}
-
-func (g *OrderGuard) revoke(text string) bool {
-	k, err := orderkey.Decode(text)
-	if err != nil {
-		return false
-	}
-	book := g.Orders.Book(k.Incarnation)
-	return book != nil && book.Secret.Verify(&k) && book.Revoke(g.Clock.Now(), k.Sequence, k.Expiry)
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -53,9 +53,10 @@
 }
 
 // DefaultConfig returns the bounds for one entry host: 131072 keys of 5
-// minutes are 436 keys per second, in slots of 24 bytes.
+// minutes are 436 keys per second, in slots of 24 bytes, and 32768 records are
+// 109 orders per second with answers of 1 KiB on average.
 func DefaultConfig() Config {
-	return Config{Window: 1 << 17, MaxRecords: 1 << 14, MaxBytes: 32 << 20, MaxAnswer: 64 << 10, KeyLife: 5 * time.Minute}
+	return Config{Window: 1 << 17, MaxRecords: 1 << 15, MaxBytes: 32 << 20, MaxAnswer: 64 << 10, KeyLife: 5 * time.Minute}
 }
 
 // Answer is what became of an order.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -292,7 +292,9 @@
 type HandOverRequest struct {
 	Header
 	Owner   uint64 // incarnation whose records these are
-	Payload []byte // encoded by package ledger
+	Payload []byte // part of what package ledger encoded
+	Part    int    // from 0; the parts are sent in order
+	Parts   int    // number of parts; the last one completes the transfer
 }
 
 // HandOverReply confirms a transfer.
