Rank copy holders with the shared rendezvous order, split long tests

Change: rank uses package rendezvous. TestOverPeers hands over 1.7 MB. BenchmarkOrder measures the ledger.

--- a/internal/controller/orders/copies.go
+++ b/internal/controller/orders/copies.go
@@ -1,11 +1,8 @@
 package orders
 
 import (
-	"cmp"
 	"context"
-	"encoding/binary"
-	"hash/fnv"
-	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -14,6 +11,7 @@
 	"github.com/anvilfront/anvilfront/internal/ledger"
 	"github.com/anvilfront/anvilfront/internal/orderkey"
 	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/rendezvous"
 	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 	"github.com/anvilfront/anvilfront/internal/wire"
@@ -38,38 +36,20 @@
 // rank returns up to limit members by rendezvous hash of the incarnation,
 // highest first, among those that accept returns true for.
 func rank(m *state.Members, incarnation uint64, limit int, accept func(*state.Member) bool) []*state.Member {
-	type scored struct {
-		member *state.Member
-		score  uint64
-	}
-	var all []scored
-	for _, v := range m.ByName {
+	var names []string
+	for name, v := range m.ByName {
 		if accept(v) {
-			all = append(all, scored{v, score(incarnation, v.Name)})
+			names = append(names, name)
 		}
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
-	})
+	names = rendezvous.Order("orders/"+strconv.FormatUint(incarnation, 16), names)
 	var out []*state.Member
-	for _, s := range all[:min(limit, len(all))] {
-		out = append(out, s.member)
+	for _, name := range names[:min(limit, len(names))] {
+		out = append(out, m.ByName[name])
 	}
 	return out
 }
 
-func score(incarnation uint64, name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, incarnation))
-	_, _ = h.Write([]byte(name))
-	// FNV leaves the high bits of similar short names alike; the final mix spreads them.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // copyHolders returns the entry hosts that may hold copies of the orders of a
 // key's incarnation, in other data centres than its owner's. Dead ones are
 // included, so that a sender and a reader with different views of life agree on
--- a/internal/controller/orders/peers_test.go
+++ b/internal/controller/orders/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,27 +27,18 @@
 func (noGossip) Publish(wire.Update)              {}
 func (noGossip) Handle(func(string, wire.Update)) {}
 
-// TestOverPeers guards against messages that do not survive gob and net/rpc:
-// a forwarded order, a copy and its look-up, a hand-over, and a forward that
-// follows the successor.
-func TestOverPeers(t *testing.T) {
+// member is one entry host with real connections to its peers.
+type member struct {
+	ctl   *Controller
+	store *state.Store
+	chain filter.Handler
+}
+
+// startMembers starts eh0 in dc0 and eh1 and eh2 in dc1. run handles their orders.
+func startMembers(t *testing.T, run filter.Handler) (all []member) {
 	is := is.New(t)
 	m, err := manifest.Parse([]byte(testManifest))
 	is.NoErr(err)
-	var runs atomic.Int32
-	run := filter.HandlerFunc(func(_ context.Context, x *filter.Exchange) filter.Outcome {
-		if err := x.BeforeDispatch(); err != nil {
-			return filter.Refuse(verdict.From(err).Reason, err)
-		}
-		runs.Add(1)
-		return filter.Outcome{Verdict: verdict.Ran, Response: &filter.Response{Status: 201,
-			Headers: []filter.Header{{Name: "Location", Value: "/order/7"}}, Body: append([]byte("answer to "), x.Request.Body...)}}
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var ctls []*Controller
-	var stores []*state.Store
-	var chains []filter.Handler
 	members := map[string]*state.Member{}
 	for i, name := range []string{"eh0", "eh1", "eh2"} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -63,31 +55,51 @@
 		server := peer.NewServer(l)
 		is.NoErr(ctl.Register(server))
 		go server.Serve()
-		go ctl.Run(ctx)
-		defer server.Close()
-		defer client.Close()
-		ctls, stores, chains = append(ctls, ctl), append(stores, store), append(chains, chain)
+		go ctl.Run(t.Context())
+		t.Cleanup(server.Close)
+		t.Cleanup(client.Close)
+		all = append(all, member{ctl, store, chain})
 	}
-	for i, s := range stores {
-		self := *members[[]string{"eh0", "eh1", "eh2"}[i]]
-		s.Update(func(s *state.Snapshot) {
-			s.Manifest, s.Members = m, &state.Members{Self: self, ByName: members}
-		})
+	for _, o := range all {
+		self := o.store.Load().Members.Self
+		o.store.Update(func(s *state.Snapshot) { s.Manifest, s.Members = m, &state.Members{Self: self, ByName: members} })
 	}
+	return all
+}
+
+// TestOverPeers guards against messages that do not survive gob and net/rpc: a
+// forwarded order, a copy, a hand-over in several parts, and a forward that
+// follows the successor.
+func TestOverPeers(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	var runs atomic.Int32
+	all := startMembers(t, filter.HandlerFunc(func(_ context.Context, x *filter.Exchange) filter.Outcome {
+		if err := x.BeforeDispatch(); err != nil {
+			return filter.Refuse(verdict.From(err).Reason, err)
+		}
+		runs.Add(1)
+		return filter.Outcome{Verdict: verdict.Ran, Response: &filter.Response{Status: 201,
+			Headers: []filter.Header{{Name: "Location", Value: "/order/7"}}, Body: append([]byte("answer to "), x.Request.Body...)}}
+	}))
 	send := func(i int, key, body string) filter.Outcome {
-		return chains[i].Handle(ctx, &filter.Exchange{Snapshot: stores[i].Load(), Key: key, Arrived: 0,
+		return all[i].chain.Handle(ctx, &filter.Exchange{Snapshot: all[i].store.Load(), Key: key, Arrived: 0,
 			Request: &filter.Request{Method: "POST", Path: "/order", Body: []byte(body), Headers: []filter.Header{{Name: filter.HeaderOrderKey, Value: key}}}})
 	}
-	keys, err := ctls[0].Issue(3)
+	keys, err := all[0].ctl.Issue(30)
 	is.NoErr(err)
-	for i := range chains { // forwarded from eh1 and eh2
+	for i := range all { // forwarded from eh1 and eh2
 		out := send(i, keys[0], "a")
 		is.Equal(out.Verdict, verdict.Ran)
 		is.Equal(string(out.Response.Body), "answer to a")
 		is.Equal(out.Response.Get("Location"), "/order/7")
 	}
 	is.Equal(runs.Load(), int32(1))
-	is.Equal(ctls[0].Stop(ctx), int64(0))
+	for _, key := range keys[2:] { // 1.7 MB of answers
+		is.Equal(send(1, key, strings.Repeat("x", 60_000)).Verdict, verdict.Ran)
+	}
+	runs.Store(1)
+	is.Equal(all[0].ctl.Stop(ctx), int64(0))
 	for _, key := range []string{keys[1], keys[1]} { // to eh0, which names its successor
 		out := send(1, key, "b")
 		is.Equal(out.Verdict, verdict.Ran)
@@ -98,8 +110,8 @@
 	is.Equal(runs.Load(), int32(2))
 	found := false // the copy of the first order is sent by a goroutine of its own
 	for end := time.Now().Add(5 * time.Second); !found && time.Now().Before(end); time.Sleep(time.Millisecond) {
-		for _, c := range ctls[1:] {
-			_, ok := c.held(keys[0], 0)
+		for _, o := range all[1:] {
+			_, ok := o.ctl.held(keys[0], 0)
 			found = found || ok
 		}
 	}
--- a/internal/controller/orders/rules_test.go
+++ b/internal/controller/orders/rules_test.go
@@ -43,52 +43,59 @@
 	})
 }
 
+type want struct {
+	verdict verdict.Verdict
+	reason  verdict.Reason
+	fresh   bool
+}
+
+const (
+	unknown = verdict.MayHaveRun
+	notRun  = verdict.NotRun
+	ran     = verdict.Ran
+)
+
+var none request
+
+// answerCases are a first request to a host and, unless none, a second one to
+// host 2 under the same key. Host 0 issued the key.
+var answerCases = map[string]struct {
+	host   int
+	first  request
+	want   want
+	second request
+	then   want
+}{
+	"at the owner, again":      {0, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"forwarded, again":         {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"another body":             {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "b"}, want{unknown, verdict.ReasonKeyConflict, false}},
+	"another route":            {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{path: "/booking", body: "a"}, want{unknown, verdict.ReasonKeyConflict, false}},
+	"refused, again":           {0, request{body: "a", admission: "f"}, want{notRun, verdict.ReasonOverload, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
+	"refused at the owner":     {1, request{body: "a", admission: "f"}, want{notRun, verdict.ReasonOverload, true}, none, want{}},
+	"shed":                     {1, request{body: "a", backend: "ssss"}, want{notRun, verdict.ReasonShed, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
+	"connection refused":       {1, request{body: "a", backend: "cccc"}, want{notRun, verdict.ReasonConnectFailed, true}, none, want{}},
+	"reset, again":             {0, request{body: "a", backend: "rrrr"}, want{unknown, verdict.ReasonAnswerCut, false}, request{body: "a"}, want{unknown, verdict.ReasonAnswerCut, false}},
+	"too large to keep, again": {0, request{body: "a", backend: "LLLL"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNotKept, false}},
+	"lost forward, again":      {1, request{body: "a", net: "l"}, want{unknown, verdict.ReasonOwnerUnconfirmed, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"lost reply, again":        {1, request{body: "a", net: "r"}, want{unknown, verdict.ReasonOwnerUnconfirmed, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"no forward":               {1, request{body: "a", net: "x"}, want{unknown, verdict.ReasonOwnerGone, false}, none, want{}},
+	"panic":                    {0, request{body: "a", admission: "p"}, want{unknown, verdict.ReasonInternal, false}, request{body: "a"}, want{unknown, verdict.ReasonInternal, false}},
+	"no route, elsewhere":      {1, request{path: "/none"}, want{unknown, verdict.ReasonNoRoute, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"no route, at the owner":   {0, request{path: "/none"}, want{notRun, verdict.ReasonNoRoute, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
+	"idempotent route":         {0, request{path: "/lookup"}, want{unknown, verdict.ReasonKeyUnexpected, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"damaged key":              {1, request{key: "AQ", body: "a"}, want{unknown, verdict.ReasonKeyMalformed, false}, none, want{}},
+	"key required":             {1, request{path: "/booking", key: "-"}, want{notRun, verdict.ReasonKeyRequired, true}, none, want{}},
+	"no key":                   {1, request{body: "a", key: "-"}, want{ran, verdict.ReasonNone, false}, none, want{}},
+	"no key, shed":             {1, request{body: "a", key: "-", backend: "ssss"}, want{notRun, verdict.ReasonRetryBudget, false}, none, want{}},
+	"no key, reset":            {1, request{body: "a", key: "-", backend: "rrrr"}, want{unknown, verdict.ReasonAnswerCut, false}, none, want{}},
+	"in time":                  {1, request{body: "a", deadline: time.Second, admission: "w"}, want{notRun, verdict.ReasonDeadline, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
+	"answered late":            {1, request{body: "a", deadline: time.Second, backend: "HHHH"}, want{unknown, verdict.ReasonAnswerTimeout, false}, request{body: "a", deadline: time.Second}, want{unknown, verdict.ReasonAnswerTimeout, false}},
+}
+
 // TestAnswers guards against a wrong verdict, reason or fresh key for a first
-// and a second request. The key is issued by host 0.
+// and a second request.
 func TestAnswers(t *testing.T) {
-	const (
-		unknown = verdict.MayHaveRun
-		notRun  = verdict.NotRun
-		ran     = verdict.Ran
-	)
-	type want struct {
-		verdict verdict.Verdict
-		reason  verdict.Reason
-		fresh   bool
-	}
-	none := request{}
-	for name, c := range map[string]struct {
-		host   int
-		first  request
-		want   want
-		second request // sent to host 2 under the same key, unless zero
-		then   want
-	}{
-		"at the owner, again":      {0, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"forwarded, again":         {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"another body":             {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "b"}, want{unknown, verdict.ReasonKeyConflict, false}},
-		"another route":            {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{path: "/booking", body: "a"}, want{unknown, verdict.ReasonKeyConflict, false}},
-		"refused, again":           {0, request{body: "a", admission: "f"}, want{notRun, verdict.ReasonOverload, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
-		"refused at the owner":     {1, request{body: "a", admission: "f"}, want{notRun, verdict.ReasonOverload, true}, none, want{}},
-		"shed":                     {1, request{body: "a", backend: "ssss"}, want{notRun, verdict.ReasonShed, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
-		"connection refused":       {1, request{body: "a", backend: "cccc"}, want{notRun, verdict.ReasonConnectFailed, true}, none, want{}},
-		"reset, again":             {0, request{body: "a", backend: "rrrr"}, want{unknown, verdict.ReasonAnswerCut, false}, request{body: "a"}, want{unknown, verdict.ReasonAnswerCut, false}},
-		"too large to keep, again": {0, request{body: "a", backend: "LLLL"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNotKept, false}},
-		"lost forward, again":      {1, request{body: "a", net: "l"}, want{unknown, verdict.ReasonOwnerUnconfirmed, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"lost reply, again":        {1, request{body: "a", net: "r"}, want{unknown, verdict.ReasonOwnerUnconfirmed, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"no forward":               {1, request{body: "a", net: "x"}, want{unknown, verdict.ReasonOwnerGone, false}, none, want{}},
-		"panic":                    {0, request{body: "a", admission: "p"}, want{unknown, verdict.ReasonInternal, false}, request{body: "a"}, want{unknown, verdict.ReasonInternal, false}},
-		"no route, elsewhere":      {1, request{path: "/none"}, want{unknown, verdict.ReasonNoRoute, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"no route, at the owner":   {0, request{path: "/none"}, want{notRun, verdict.ReasonNoRoute, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
-		"idempotent route":         {0, request{path: "/lookup"}, want{unknown, verdict.ReasonKeyUnexpected, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"damaged key":              {1, request{key: "AQ", body: "a"}, want{unknown, verdict.ReasonKeyMalformed, false}, none, want{}},
-		"key required":             {1, request{path: "/booking", key: "-"}, want{notRun, verdict.ReasonKeyRequired, true}, none, want{}},
-		"no key":                   {1, request{body: "a", key: "-"}, want{ran, verdict.ReasonNone, false}, none, want{}},
-		"no key, shed":             {1, request{body: "a", key: "-", backend: "ssss"}, want{notRun, verdict.ReasonRetryBudget, false}, none, want{}},
-		"no key, reset":            {1, request{body: "a", key: "-", backend: "rrrr"}, want{unknown, verdict.ReasonAnswerCut, false}, none, want{}},
-		"in time":                  {1, request{body: "a", deadline: time.Second, admission: "w"}, want{notRun, verdict.ReasonDeadline, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
-		"answered late":            {1, request{body: "a", deadline: time.Second, backend: "HHHH"}, want{unknown, verdict.ReasonAnswerTimeout, false}, request{body: "a", deadline: time.Second}, want{unknown, verdict.ReasonAnswerTimeout, false}},
-	} {
+	for name, c := range answerCases {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(is *is.I, w *world, send func(int, request) filter.Outcome) {
 				// A copy would answer after a lost reply if it came in time; TestOwnerGone covers that.
--- a/internal/ledger/handover_test.go
+++ b/internal/ledger/handover_test.go
@@ -62,9 +62,8 @@
 			if e != EntryJoin {
 				continue
 			}
-			a := r.Answer()
 			body, ok := answers[seq]
-			if ok != (a.Verdict == verdict.Ran) || ok && string(a.Response.Body) != body {
+			if a := r.Answer(); ok != (a.Verdict == verdict.Ran) || ok && string(a.Response.Body) != body {
 				t.Fatalf("key %d: answer %+v, want %q", seq, a, body)
 			}
 		}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -176,3 +176,22 @@
 		is.Equal(l.Usage().Running, int64(0))
 	}
 }
+
+// BenchmarkOrder measures one order from issue to answer, with its allocations.
+func BenchmarkOrder(b *testing.B) {
+	cfg := DefaultConfig()
+	cfg.KeyLife = 1e6 // 1000 orders
+	l := New(cfg)
+	var now atomic.Int64
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			at := clock.Time(now.Add(1000))
+			seq, expiry, _ := l.Issue(at)
+			if e, r := l.Begin(at, seq, expiry, 1); e == EntryRun {
+				l.Dispatch(at, r)
+				l.Finish(r, Answer{Verdict: verdict.Ran})
+			}
+		}
+	})
+}
