Take over no book after the seal, keep the reason of an unkeyed shed

Cause: a book that was taken over while its new owner began to stop could miss the owner's own hand-over. An order without a key that was shed was refused as retry_budget, because the second attempt was stopped.

Change: Stop seals the own ledger and then replaces the table of books, so that a concurrent take-over sees the seal. An order without a key keeps the outcome of its one attempt.

The table test fails when a second attempt without a key is allowed. The take-over at the moment of the seal has no test of its own.

--- a/internal/controller/orders/handover.go
+++ b/internal/controller/orders/handover.go
@@ -31,6 +31,10 @@
 // Callers' requests and forwarded orders are still answered meanwhile. The
 // controller's Run must go on until Stop returns.
 func (c *Controller) Stop(ctx context.Context) (running int64) {
+	// A book that is taken over at this moment is either in the table read
+	// below, or adopt sees the seal when its change of the table is refused.
+	c.own.Seal()
+	c.edit(func(books) bool { return true })
 	all := *c.books.Load()
 	for _, b := range all {
 		if b != nil {
@@ -159,6 +163,9 @@
 		return false
 	}
 	accepted := c.edit(func(b books) bool {
+		if c.own.Sealed() {
+			return false
+		}
 		live, bytes := 0, l.Usage().Bytes
 		for inc, book := range b {
 			switch {
--- a/internal/filters/orderkey.go
+++ b/internal/filters/orderkey.go
@@ -181,14 +181,19 @@
 // the backend server shed it.
 func once(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
 	var a attempts
-	started := false
+	started, blocked := false, false
 	x.BeforeDispatch = func() error {
 		if started {
+			blocked = true
 			return verdict.New(verdict.NotRun, verdict.ReasonRetryBudget, nil)
 		}
 		started, a.sent = true, true
 		return nil
 	}
 	x.AfterAttempt = func(out filter.Outcome) { a.ended(out) }
-	return a.correct(next.Handle(ctx, x))
+	out := a.correct(next.Handle(ctx, x))
+	if blocked && out.Verdict == verdict.NotRun {
+		return a.last // why the one attempt did not run
+	}
+	return out
 }
