Test that a hedged request keeps its doubt

Cause: no test covered a hedged request of which one copy may have run and the other one was refused later. Change: TestHedgeKeepsDoubt. Result: the test passes, and fails when the outcomes are not combined.

--- a/internal/filters/retry_test.go
+++ b/internal/filters/retry_test.go
@@ -170,6 +170,33 @@
 	})
 }
 
+// TestHedgeKeepsDoubt guards against "not run" for a request of which one copy
+// may have run and the other was refused afterwards.
+func TestHedgeKeepsDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &Retry{Clock: clock.NewMonotonic(), Counters: metrics.New()}
+		f.hedges.get("s").estimate.Store(int64(10 * time.Millisecond))
+		f.hedges.get("s").parts.Store(budgetUnit)
+		h := filter.Chain(f, handler(func(_ context.Context, x *filter.Exchange) filter.Outcome {
+			if len(x.Tried) > 0 {
+				time.Sleep(time.Second)
+				return filter.Refuse(verdict.ReasonOverload, nil)
+			}
+			x.Grant = &filter.Grant{Server: &manifest.BackendServer{Name: "b1"}}
+			_ = x.BeforeDispatch()
+			time.Sleep(100 * time.Millisecond)
+			return filter.Unknown(verdict.ReasonAnswerCut, nil)
+		}))
+		x := exchange(true)
+		x.Service.HedgePercent, x.Route.Retries = 10, 0
+		out := h.Handle(context.Background(), x)
+		is.Equal(f.Counters.Retries(verdict.ReasonHedge), int64(1))
+		is.Equal(out.Verdict, verdict.MayHaveRun)
+		is.Equal(out.Reason, verdict.ReasonAnswerCut)
+	})
+}
+
 // noOrders owns no order key.
 type noOrders struct{ Orders }
 
