Test that leaving callers free lookups and keep orders

Cause: the watch of callers' connections was tested at the listener only. Change: TestCallerLeaves runs it through an entry host to a fake server.

--- a/internal/entryhost/life_test.go
+++ b/internal/entryhost/life_test.go
@@ -89,3 +89,22 @@
 		})
 	}
 }
+
+// TestCallerLeaves guards against a lookup that keeps its slot after its caller
+// left, and against an order that is cancelled or loses its answer.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, localfleet.Config{CentreCount: 1, HostCount: 1, ServerCount: 1, Slots: 1, ServiceTime: 300 * time.Millisecond})
+	address, server := f.Host(0).Address(), f.Servers[0]
+	short := &localfleet.Client{Timeout: 100 * time.Millisecond}
+	is.True(short.Do(address, "GET", "/lot/1", "", "").Err != nil)
+	is.NoErr(localfleet.Wait(context.Background(), func() bool { return server.Cancelled() == 1 }))
+
+	c := &localfleet.Client{}
+	defer c.Close()
+	key := c.Keys(address, "1")[0]
+	is.True(short.Do(address, "POST", "/orders/a", key, "a").Err != nil)
+	is.Equal(c.Do(address, "POST", "/orders/a", key, "a").Verdict, verdict.Ran)
+	is.Equal(server.Cancelled(), int64(1))
+	is.Equal(f.Orders.Count("a"), int64(1))
+}
