--- a/examples/latency/main.go
+++ b/examples/latency/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -34,6 +35,7 @@
 type run struct {
 	times  []time.Duration // from the time a call was due
 	failed int64
+	causes map[string]int64 // of failed calls
 	cpu    time.Duration
 	wall   time.Duration
 	allocs uint64
@@ -100,6 +102,7 @@
 	for i := range results {
 		out.times = append(out.times, results[i].times...)
 		out.failed += results[i].failed
+		out.addCauses(&results[i])
 	}
 	return out
 }
@@ -128,7 +131,7 @@
 					due = time.Now() // the key call is not part of the order
 				}
 				if len(m.keys[i]) == 0 {
-					r.failed++
+					r.fail("no order key")
 					continue
 				}
 				key, m.keys[i] = m.keys[i][0], m.keys[i][1:]
@@ -137,19 +140,37 @@
 		a := c.Do(address, method, path, key, id)
 		r.times = append(r.times, time.Since(due))
 		if a.Err != nil || a.Status != 200 || through && a.Verdict != verdict.Ran {
-			r.failed++
+			r.fail(cmp.Or(a.Reason, fmt.Sprint(a.Err)))
 		}
 	}
 }
 
+func (r *run) fail(cause string) {
+	r.failed++
+	if r.causes == nil {
+		r.causes = map[string]int64{}
+	}
+	r.causes[cause]++
+}
+
 func (r *run) add(v *run) {
 	r.times = append(r.times, v.times...)
 	r.failed += v.failed
+	r.addCauses(v)
 	r.cpu += v.cpu
 	r.wall += v.wall
 	r.allocs += v.allocs
 }
 
+func (r *run) addCauses(v *run) {
+	for cause, n := range v.causes {
+		if r.causes == nil {
+			r.causes = map[string]int64{}
+		}
+		r.causes[cause] += n
+	}
+}
+
 func (m *meter) print(rate int, direct, through *run) {
 	title := "At saturation"
 	if rate > 0 {
@@ -171,6 +192,9 @@
 	t, tCPU, tAllocs := row("through", through)
 	fmt.Printf("%-10s %9v %9v %9v %9s %12.1f %12.1f\n", "added", (t[0] - d[0]).Round(time.Microsecond),
 		(t[1] - d[1]).Round(time.Microsecond), (t[2] - d[2]).Round(time.Microsecond), "", tCPU-dCPU, tAllocs-dAllocs)
+	if through.failed > 0 {
+		fmt.Println("failed calls by cause:", through.causes)
+	}
 	fmt.Printf("calls a second per core of the entry host: %.0f\n", 1e6/(tCPU-dCPU))
 }
 
