Add entry host processes under faults

Cause: nothing showed that the invariants hold when entry hosts are separate processes that are killed, paused or stopped. Change: internal/proctest builds the binary, runs six processes over two data centres and inflicts ten faults under load. The fake backend server can be crashed by a path, and its peak can be measured anew.

--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -25,12 +25,13 @@
 	ColdSlots   int           // requests it bears right after a start; 0: it is never cold
 	WarmAfter   int           // successes after which it is warm; default 50
 	Orders      *Orders       // record of orders that ran; may be shared; may be nil
+	CrashPath   string        // a request with this path kills the process, which starts anew; may be empty
 
 	behaviour atomic.Pointer[Behaviour]
 	starts    atomic.Int64 // number of the current instance, from 1
 	address   string
 
-	inflight, peak, runs, sheds, coldOverloads, cancelled, successes, probes atomic.Int64
+	inflight, peak, runs, sheds, coldOverloads, cancelled, successes, probes, crashes atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -117,6 +118,12 @@
 // Peak returns the largest number of requests in flight at a time.
 func (b *Backend) Peak() int64 { return b.peak.Load() }
 
+// TakePeak returns Peak and starts its measurement anew.
+func (b *Backend) TakePeak() int64 { return b.peak.Swap(b.inflight.Load()) }
+
+// Crashes returns how many requests with CrashPath ran.
+func (b *Backend) Crashes() int64 { return b.crashes.Load() }
+
 // ColdOverloads returns how many requests failed because it was cold.
 func (b *Backend) ColdOverloads() int64 { return b.coldOverloads.Load() }
 
--- /dev/null
+++ b/internal/proctest/faults_test.go
@@ -0,0 +1,305 @@
+package proctest
+
+import (
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/fake"
+	"github.com/anvilfront/anvilfront/internal/localfleet"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// fault is one way in which processes or their surroundings fail under load.
+type fault struct {
+	name    string
+	guard   string              // which failure the test guards against
+	edit    func(*fake.Backend) // of the backend servers before they start
+	inflict func(f *fleet, l *load)
+	check   func(t *testing.T, f *fleet, r localfleet.Result) // may be nil
+}
+
+var faults = []fault{
+	{name: "KilledHost", guard: "an order that runs again after its owner was killed and replaced", inflict: killHosts},
+	{name: "PausedHost", guard: "a host that acts on outdated state after a pause", inflict: func(f *fleet, _ *load) { pauseHost(f, false) }},
+	{name: "PausedHolder", guard: "a lease holder that grants slots after its lease ran out in a pause", inflict: func(f *fleet, _ *load) { pauseHost(f, true) }},
+	{name: "PlatformFailsAfterRead", guard: "a revision that stays on the one host that read it", inflict: failAfterRead},
+	{name: "PlatformStale", guard: "a restarted host that brings an older manifest back", inflict: stalePlatform},
+	{name: "ManifestRace", guard: "hosts that change between two manifests of one revision or go back", inflict: raceManifests},
+	{name: "PlannedStop", guard: "a planned stop that cuts requests or loses orders", inflict: plannedStop, check: checkPlannedStop},
+	{name: "ColdServer", guard: "a restarted backend server that gets more than it bears", inflict: restartServer,
+		edit: func(b *fake.Backend) { b.Slots, b.ColdSlots = slots, 2 }, check: checkCold},
+	{name: "CrashingRequest", guard: "one request that crashes server after server", inflict: crashServers,
+		edit: func(b *fake.Backend) { b.CrashPath = crashPath }},
+	{name: "KilledCentre", guard: "a data centre without entry hosts whose servers are overloaded or lost for good", inflict: killCentre},
+}
+
+// TestFaults guards the invariants of the design page against each fault.
+func TestFaults(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "anvilfront")
+	build := exec.Command("go", "build", "-o", binary, "./cmd/anvilfront")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	// Two fleets at a time keep the package short and the machine usable.
+	lanes := make(chan struct{}, 2)
+	for _, c := range faults {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			lanes <- struct{}{}
+			defer func() { <-lanes }()
+			t.Log("guards against " + c.guard)
+			f := startFleet(t, binary, c.edit)
+			l := f.startLoad()
+			time.Sleep(500 * time.Millisecond)
+			f.checkSlots("before the fault")
+			c.inflict(f, l)
+			f.checkSlots("during the fault")
+			f.eventually(10*time.Second, "the fleet settles again", f.settled)
+			f.servers[0].TakePeak()
+			f.checkSlots("after the fault")
+			time.Sleep(300 * time.Millisecond)
+			f.checkSlots("at the end")
+			r := l.finish()
+			if c.check != nil {
+				c.check(t, f, r)
+			}
+		})
+	}
+}
+
+// killHosts kills two hosts one after the other and replaces each.
+func killHosts(f *fleet, _ *load) {
+	for range 2 {
+		i := f.rand.IntN(hostCount)
+		f.t.Logf("kill %s", f.hosts[i].name)
+		f.kill(i)
+		time.Sleep(time.Duration(f.rand.IntN(500)) * time.Millisecond)
+		f.start(i)
+		time.Sleep(time.Second)
+	}
+}
+
+// pauseHost pauses a host of dc1, the holder of its pool or another one, while
+// dc2 is marked out and a backend server of dc1 marked leaving.
+func pauseHost(f *fleet, holder bool) {
+	i := f.watch.holder("dc2")
+	if !holder {
+		i = (i + centreCount) % hostCount
+	}
+	f.t.Logf("pause %s", f.hosts[i].name)
+	f.signal(i, syscall.SIGSTOP)
+	paused := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	f.hosts[i].aside.Store(true) // the balancer notices
+	f.out, f.leaving[0] = "dc2", true
+	f.publish()
+	accepted := f.accepted(f.revision)
+	f.eventually(bound, "the revision is in force on the hosts that run", func() bool { return f.inForce(f.revision, i) })
+	time.Sleep(time.Until(accepted.Add(bound)))
+	time.Sleep(time.Until(paused.Add(3 * time.Second)))
+	before := f.runs([]int{0, 1, 3})
+	f.signal(i, syscall.SIGCONT)
+	f.hosts[i].aside.Store(false)
+	// Each thread of the paused process may have been between check and write.
+	f.quiet(1500*time.Millisecond, threads, 0, 1, 3)
+	f.t.Logf("%d requests were past the check", f.runs([]int{0, 1, 3})-before)
+	f.out, f.leaving[0] = "", false
+	f.publish()
+}
+
+// failAfterRead lets the platform deliver a new revision once and then fail.
+func failAfterRead(f *fleet, _ *load) {
+	f.revision++
+	raw := f.manifest(f.revision)
+	var once sync.Mutex
+	for i := range hostCount {
+		f.see(i, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/v1/manifest" && once.TryLock() {
+				_, _ = w.Write(raw)
+				return
+			}
+			w.WriteHeader(http.StatusBadGateway)
+		}))
+	}
+	f.platform.SetDown(true) // ends the watches that are pending
+	accepted := f.accepted(f.revision)
+	f.eventually(time.Until(accepted.Add(bound)), "the revision is in force everywhere", func() bool { return f.inForce(f.revision, -1) })
+	f.t.Logf("in force after %v", time.Since(accepted))
+}
+
+// stalePlatform makes the platform serve an old revision while hosts restart.
+func stalePlatform(f *fleet, _ *load) {
+	old := f.manifest(f.revision)
+	f.out = "dc2"
+	f.publish()
+	accepted := f.accepted(f.revision)
+	f.eventually(time.Until(accepted.Add(bound)), "the revision is in force everywhere", func() bool { return f.inForce(f.revision, -1) })
+	f.platform.SetStale(old)
+	for _, i := range []int{f.rand.IntN(3), 3 + f.rand.IntN(3)} {
+		f.kill(i)
+		f.start(i)
+	}
+	time.Sleep(time.Until(accepted.Add(bound)))
+	// Restarted hosts become ready in this time and must not serve the old state.
+	f.quiet(3*time.Second, 0, 1, 3)
+	f.platform.SetStale(nil)
+	f.out = ""
+	f.publish()
+}
+
+// raceManifests publishes two manifests of one revision, one to each data
+// centre, and then a newer and an older one in quick turns.
+func raceManifests(f *fleet, _ *load) {
+	other := fake.NewPlatform()
+	for i := range hostCount {
+		if centre(i) == "dc2" {
+			f.see(i, other)
+		}
+	}
+	// Ends the watches of dc2 at the first platform.
+	f.platform.SetDown(true)
+	f.platform.SetDown(false)
+	time.Sleep(time.Second)
+	f.revision++
+	raw := f.manifest(f.revision)
+	both := [][]byte{raw, append([]byte("# other bytes\n"), raw...)}
+	var wg sync.WaitGroup
+	for k, p := range []*fake.Platform{f.platform, other} {
+		wg.Go(func() { p.Publish(f.revision, both[k]) })
+	}
+	wg.Wait()
+	f.eventually(bound, "the revision is in force everywhere", func() bool { return f.inForce(f.revision, -1) })
+	f.eventually(bound, "the conflict is counted", func() bool {
+		n := int64(0)
+		for _, p := range f.hosts {
+			n += p.counter("manifests_conflicts")
+		}
+		return n > 0
+	})
+	for turn := range 20 {
+		p := []*fake.Platform{f.platform, other}[turn%2]
+		older := f.revision
+		f.revision++
+		p.Publish(f.revision, f.manifest(f.revision))
+		p.SetStale(f.manifest(older))
+		time.Sleep(20 * time.Millisecond)
+		p.SetStale(nil)
+	}
+	f.publish() // converges
+	accepted := f.accepted(f.revision)
+	f.eventually(time.Until(accepted.Add(bound)), "the last revision is in force everywhere", func() bool { return f.inForce(f.revision, -1) })
+}
+
+// plannedStop stops the owner of some keys under load.
+func plannedStop(f *fleet, l *load) {
+	i := f.rand.IntN(hostCount)
+	p, c := f.hosts[i], &localfleet.Client{}
+	defer c.Close()
+	keys := c.Keys(p.listen, "4")
+	if len(keys) != 4 {
+		f.t.Fatal("no keys")
+	}
+	for n, key := range keys[:2] {
+		if a := c.Do(p.listen, "POST", "/orders/s", key, fmt.Sprintf("s%d", n)); a.Verdict != verdict.Ran {
+			f.t.Errorf("order before the stop: %+v", a)
+		}
+	}
+	f.signal(i, syscall.SIGTERM)
+	select {
+	case err := <-p.exited:
+		if err != nil {
+			f.t.Errorf("%s ended with %v", p.name, err)
+		}
+		p.exited <- nil
+	case <-time.After(12 * time.Second): // notice and stop bound
+		f.t.Fatal("the stop exceeds its bound")
+	}
+	if n := l.NoAnswers(); n != 0 {
+		f.t.Errorf("%d exchanges were cut by the stop", n)
+	}
+	// The successor answers for the keys: those that ran are not run again, the
+	// others run once.
+	for n, key := range append(keys, keys...) {
+		n %= 4
+		a := c.Do(f.targets()[f.rand.IntN(hostCount-1)], "POST", "/orders/s", key, fmt.Sprintf("s%d", n))
+		if a.Verdict != verdict.Ran || a.Body != fmt.Sprintf("ok /orders/s s%d\n", n) {
+			f.t.Errorf("order s%d after the stop: %+v", n, a)
+		}
+	}
+	f.start(i)
+}
+
+func checkPlannedStop(t *testing.T, f *fleet, r localfleet.Result) {
+	if n := r.Finals[verdict.MayHaveRun]; n != 0 {
+		t.Errorf("the fate of %d orders stayed unknown", n)
+	}
+	if r.NoAnswer != 0 {
+		t.Errorf("%d exchanges without an answer", r.NoAnswer)
+	}
+}
+
+// restartServer kills a backend server and starts it cold.
+func restartServer(f *fleet, _ *load) {
+	b := f.servers[f.rand.IntN(serverCount)]
+	b.Crash()
+	time.Sleep(300 * time.Millisecond)
+	f.must(b.Start())
+	time.Sleep(2 * time.Second)
+}
+
+func checkCold(t *testing.T, f *fleet, _ localfleet.Result) {
+	for i, b := range f.servers {
+		if b.ColdOverloads() != 0 || b.Sheds() != 0 {
+			t.Errorf("b%d: %d requests beyond what a cold server bears, %d beyond its slots", i+1, b.ColdOverloads(), b.Sheds())
+		}
+	}
+}
+
+const crashPath = "/crash/1"
+
+// crashServers sends a request that kills every server it runs on.
+func crashServers(f *fleet, _ *load) {
+	c := &localfleet.Client{Timeout: 3 * time.Second}
+	defer c.Close()
+	for range 25 {
+		if t := f.targets(); len(t) > 0 {
+			c.Do(t[f.rand.IntN(len(t))], "GET", crashPath, "", "")
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	crashes := int64(0)
+	for _, b := range f.servers {
+		crashes += b.Crashes()
+	}
+	f.t.Logf("%d crashes", crashes)
+	if crashes == 0 || crashes > 3 {
+		f.t.Errorf("the request crashed %d servers, the bound is 3", crashes)
+	}
+}
+
+// killCentre kills all entry hosts of dc2 and replaces them.
+func killCentre(f *fleet, _ *load) {
+	for i := range hostCount {
+		if centre(i) == "dc2" {
+			f.kill(i)
+		}
+	}
+	time.Sleep(2500 * time.Millisecond) // longer than a lease term
+	before := f.runs([]int{0, 2})
+	time.Sleep(500 * time.Millisecond)
+	if f.runs([]int{0, 2}) == before {
+		f.t.Error("the other data centre does not serve")
+	}
+	for i := range hostCount {
+		if centre(i) == "dc2" {
+			f.start(i)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proctest/watch_test.go
@@ -0,0 +1,188 @@
+package proctest
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/operator/status"
+)
+
+// watch polls the state of all hosts and notes what must never happen.
+type watch struct {
+	mu       sync.Mutex
+	last     [hostCount]*status.Status // nil: no answer
+	revision [hostCount]uint64         // highest seen while ready, also of earlier processes
+	digest   [hostCount]string         // of that revision in this incarnation
+	process  [hostCount]string         // incarnation
+	broken   []string
+	unheld   map[string]bool // data centres with a pool without a holder since the last reset
+	end      chan struct{}
+	wg       sync.WaitGroup
+}
+
+func (w *watch) start(f *fleet) {
+	w.end, w.unheld = make(chan struct{}), map[string]bool{}
+	for i, p := range f.hosts {
+		w.wg.Go(func() {
+			for {
+				s := p.status()
+				p.ready.Store(s != nil && s.Ready)
+				w.note(i, p.name, s)
+				select {
+				case <-w.end:
+					return
+				case <-time.After(40 * time.Millisecond):
+				}
+			}
+		})
+	}
+}
+
+func (w *watch) stop() {
+	close(w.end)
+	w.wg.Wait()
+}
+
+func (w *watch) note(i int, name string, s *status.Status) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last[i] = s
+	held := w.holders()
+	for c := range centreCount {
+		if held[centre(c)] == 0 {
+			w.unheld[centre(c)] = true
+		}
+	}
+	if s == nil || !s.Ready {
+		return
+	}
+	if s.Revision < w.revision[i] {
+		w.broken = append(w.broken, fmt.Sprintf("%s went back from revision %d to %d", name, w.revision[i], s.Revision))
+	}
+	if s.Revision == w.revision[i] && s.Incarnation == w.process[i] && s.Digest != w.digest[i] {
+		w.broken = append(w.broken, fmt.Sprintf("%s changed the bytes of revision %d", name, s.Revision))
+	}
+	w.revision[i], w.digest[i], w.process[i] = max(s.Revision, w.revision[i]), s.Digest, s.Incarnation
+}
+
+// holders counts the valid leases of each data centre, which has one pool.
+func (w *watch) holders() map[string]int {
+	held := map[string]int{}
+	for _, s := range w.last {
+		if s == nil {
+			continue
+		}
+		for _, l := range s.Leases {
+			if l.LeftMillis > 0 {
+				held[strings.Split(l.Pool, "/")[1]]++
+			}
+		}
+	}
+	return held
+}
+
+// holder returns the host that holds the pool of a data centre, or -1.
+func (w *watch) holder(dc string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, s := range w.last {
+		if s == nil {
+			continue
+		}
+		for _, l := range s.Leases {
+			if l.LeftMillis > 0 && strings.Split(l.Pool, "/")[1] == dc {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// takeUnheld returns the data centres whose pool was seen without a holder
+// since the call before.
+func (w *watch) takeUnheld() map[string]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := w.unheld
+	w.unheld = map[string]bool{}
+	return u
+}
+
+func (w *watch) violations() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.broken...)
+}
+
+func (w *watch) describe() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var b strings.Builder
+	for i, s := range w.last {
+		if s == nil {
+			fmt.Fprintf(&b, "eh%d: no answer; ", i+1)
+			continue
+		}
+		fmt.Fprintf(&b, "eh%d: ready %t %s revision %d leases %v; ", i+1, s.Ready, s.NotReady, s.Revision, s.Leases)
+	}
+	return b.String()
+}
+
+// settled reports whether all hosts are ready, agree on revision and bytes,
+// see each other alive, and each pool has exactly one holder.
+func (f *fleet) settled() bool {
+	w := &f.watch
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.last {
+		if s == nil || !s.Ready || s.Revision != f.revision || s.Digest != w.last[0].Digest {
+			return false
+		}
+		alive := 0
+		for _, m := range s.Members {
+			if m.State == "alive" {
+				alive++
+			}
+		}
+		if alive != hostCount {
+			return false
+		}
+	}
+	held := w.holders()
+	for c := range centreCount {
+		if held[centre(c)] != 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// inForce reports whether the hosts have the revision in force, but for except.
+func (f *fleet) inForce(revision uint64, except int) bool {
+	f.watch.mu.Lock()
+	defer f.watch.mu.Unlock()
+	for i, s := range f.watch.last {
+		if i != except && (s == nil || s.Revision < revision) {
+			return false
+		}
+	}
+	return true
+}
+
+// accepted waits until some host has the revision in force.
+func (f *fleet) accepted(revision uint64) time.Time {
+	f.t.Helper()
+	f.eventually(10*time.Second, "a host accepts the revision", func() bool {
+		f.watch.mu.Lock()
+		defer f.watch.mu.Unlock()
+		for _, s := range f.watch.last {
+			if s != nil && s.Revision >= revision {
+				return true
+			}
+		}
+		return false
+	})
+	return time.Now()
+}
