Cut the connections between groups of entry hosts in a test

Cause: no test with real entry hosts showed what holds in a partition. Change: entryhost.WithPeerDial wraps the dial function, localfleet passes it on, and TestPartition splits eight hosts into 2 and 6 and into 4 and 4.

--- a/internal/entryhost/assemble.go
+++ b/internal/entryhost/assemble.go
@@ -41,7 +41,11 @@
 	e.store = state.NewStore(state.Member{
 		Name: s.Name, Address: e.PeerAddress(), DataCentre: s.DataCentre, Incarnation: incarnation, Alive: true,
 	})
-	e.peerClient = peer.NewClient(peer.NewDial(peerTLS))
+	dial := peer.NewDial(peerTLS)
+	if e.wrapDial != nil {
+		dial = e.wrapDial(dial)
+	}
+	e.peerClient = peer.NewClient(dial)
 	e.peerServer = peer.NewServerConfig(e.peers, peer.ServerConfig{TLS: peerTLS})
 	e.transport = backend.New(backend.Options{MaxBody: maxAnswerBytes})
 	if err := e.assembleControllers(incarnation); err != nil {
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -64,6 +64,8 @@
 	front      *front.Front
 	operator   *operator.Server
 
+	wrapDial func(peer.Dial) peer.Dial // nil: none
+
 	stopping *filters.Stopping
 	stage    atomic.Int32
 	abort    context.CancelFunc // ends Run without waiting for anything
@@ -72,9 +74,21 @@
 	done     chan struct{} // closed when Run returns
 }
 
+// Option changes how an entry host is assembled.
+type Option func(*EntryHost)
+
+// WithPeerDial wraps the function that opens connections to other entry hosts,
+// so that tests can cut them.
+func WithPeerDial(wrap func(peer.Dial) peer.Dial) Option {
+	return func(e *EntryHost) { e.wrapDial = wrap }
+}
+
 // New assembles an entry host and opens its listeners. Run comes next.
-func New(s *settings.Settings, log *zap.Logger) (*EntryHost, error) {
+func New(s *settings.Settings, log *zap.Logger, options ...Option) (*EntryHost, error) {
 	e := &EntryHost{log: log, settings: s, clock: clock.NewMonotonic(), counters: metrics.New(), stopping: filters.NewStopping(), done: make(chan struct{})}
+	for _, o := range options {
+		o(e)
+	}
 	e.aborted, e.abort = context.WithCancel(context.Background())
 	for _, l := range []struct {
 		name, address string
--- /dev/null
+++ b/internal/entryhost/partition_test.go
@@ -0,0 +1,215 @@
+package entryhost_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/localfleet"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+// partition cuts the connections between two groups of entry hosts. Bytes under
+// way are lost without notice, and new connections are not answered.
+type partition struct {
+	ports atomic.Pointer[map[string]int] // host by peer address, once the fleet runs
+	minor atomic.Int32                   // hosts below this number are cut off from the others; 0: no cut
+}
+
+func (p *partition) cut(from int, address string) bool {
+	n := int(p.minor.Load())
+	return n > 0 && (from < n) != ((*p.ports.Load())[address] < n)
+}
+
+// dial is the Dial of the fleet's configuration.
+func (p *partition) dial(from int, next peer.Dial) peer.Dial {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		if p.cut(from, address) {
+			ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond) // the dialer's own bound
+			defer cancel()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		c, err := next(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &cutConn{Conn: c, cut: func() bool { return p.cut(from, address) }}, nil
+	}
+}
+
+// cutConn loses bytes in both directions while it is cut. As bytes are missing
+// afterwards, it delivers nothing any more.
+type cutConn struct {
+	net.Conn
+	cut  func() bool
+	lost atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *cutConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.broken() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *cutConn) Write(b []byte) (int, error) {
+	if c.broken() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *cutConn) broken() bool {
+	if c.cut() {
+		c.lost.Store(true)
+	}
+	return c.lost.Load()
+}
+
+// TestPartition guards against an order that runs on both sides of a partition
+// between entry hosts, a false refusal, a side that stops serving, a backend
+// server above slots + floor(slots/2), and sides that stay apart afterwards.
+// Both sides reach callers and backend servers.
+func TestPartition(t *testing.T) {
+	const hosts, slots = 8, 6
+	for name, minor := range map[string]int{"quarter": hosts / 4, "half": hosts / 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := &partition{}
+			f := startFleet(t, localfleet.Config{
+				HostCount: hosts, Slots: slots, ServerSlots: 10 * slots, ServiceTime: 3 * time.Millisecond, Dial: p.dial,
+				Order: "retries = 2", Lookup: "retries = 2",
+			})
+			ports := map[string]int{}
+			for i := range hosts {
+				ports[f.PeerAddress(i)] = i
+			}
+			p.ports.Store(&ports)
+			l := localfleet.NewLoad(f)
+			l.Pace = 5 * time.Millisecond
+			ctx, cancel := context.WithCancel(context.Background())
+			var callers sync.WaitGroup
+			for range 12 {
+				callers.Go(func() { l.Orders(ctx, 0) })
+				callers.Go(func() { l.Lookups(ctx, 0) })
+			}
+			time.Sleep(2 * time.Second) // servers get warm
+			checkPeaks(t, f, slots, "before the partition")
+
+			p.minor.Store(int32(minor))
+			time.Sleep(2500 * time.Millisecond) // longer than a lease term
+			spread(t, f, minor)
+			before := served(f)
+			time.Sleep(2 * time.Second)
+			after := served(f)
+			for i := range hosts {
+				t.Logf("host %d served %d requests in 2 s", i, after[i]-before[i])
+			}
+			is.True(sum(after[:minor]) > sum(before[:minor])) // the smaller side serves
+			is.True(sum(after[minor:]) > sum(before[minor:])) // the larger side serves
+			checkPeaks(t, f, slots+slots/2, "during the partition")
+
+			p.minor.Store(0)
+			healed := time.Now()
+			heal, end := context.WithTimeout(context.Background(), 15*time.Second)
+			defer end()
+			is.NoErr(localfleet.Wait(heal, f.InForce))
+			t.Logf("manifest in force everywhere %v after healing", time.Since(healed))
+			is.NoErr(localfleet.Wait(heal, func() bool { return oneHolder(f) }))
+			t.Logf("one holder per pool %v after healing", time.Since(healed))
+			checkPeaks(t, f, slots+slots/2, "while healing")
+			time.Sleep(500 * time.Millisecond)
+			checkPeaks(t, f, slots, "after healing")
+			cancel()
+			callers.Wait()
+			r := l.Result()
+			report(t, r)
+			is.True(r.Ran > 0)
+			is.Equal(r.Doubled, int64(0))
+			is.Equal(r.FalseNot, int64(0))
+			is.Equal(r.FalseRan, int64(0))
+			is.Equal(r.Wrong, int64(0))
+		})
+	}
+}
+
+// spread puts a new revision in force on a host of the smaller side, while the
+// platform is down, and checks that it stays there.
+func spread(t *testing.T, f *localfleet.Fleet, minor int) {
+	is := is.New(t)
+	f.Platform.SetDown(true)
+	f.Publish()
+	m, err := manifest.Parse(f.Manifest())
+	is.NoErr(err)
+	f.Host(0).Accept(m)
+	is.NoErr(localfleet.Wait(context.Background(), func() bool {
+		for i := range minor {
+			if f.Host(i).Store().Load().Manifest.File.Revision != f.Revision() {
+				return false
+			}
+		}
+		return true
+	}))
+	for i := minor; i < f.HostCount; i++ {
+		is.True(f.Host(i).Store().Load().Manifest.File.Revision < f.Revision()) // the cut holds
+	}
+}
+
+func served(f *localfleet.Fleet) (out []int64) {
+	for i := range f.HostCount {
+		n, _ := f.Host(i).Counters().Value("verdicts." + verdict.Ran.String())
+		out = append(out, n)
+	}
+	return out
+}
+
+func sum(v []int64) (n int64) {
+	for _, x := range v {
+		n += x
+	}
+	return n
+}
+
+func checkPeaks(t *testing.T, f *localfleet.Fleet, most int64, when string) {
+	t.Helper()
+	for i, b := range f.Servers {
+		if peak := b.TakePeak(); peak > most {
+			t.Errorf("%s: b%d had %d requests in flight, the bound is %d", when, i+1, peak, most)
+		}
+	}
+}
+
+// oneHolder reports whether each pool has exactly one holder and all hosts see
+// each other alive.
+func oneHolder(f *localfleet.Fleet) bool {
+	held := map[manifest.PoolID]int{}
+	for i := range f.HostCount {
+		s := f.Host(i).Store().Load()
+		for id := range s.Leases.Held {
+			held[id]++
+		}
+		for _, m := range s.Members.ByName {
+			if !m.Alive {
+				return false
+			}
+		}
+	}
+	for _, n := range held {
+		if n != 1 {
+			return false
+		}
+	}
+	return len(held) == len(f.Host(0).Store().Load().Manifest.Pools)
+}
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -17,6 +17,7 @@
 	"github.com/anvilfront/anvilfront/internal/entryhost"
 	"github.com/anvilfront/anvilfront/internal/fake"
 	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/peer"
 	"github.com/anvilfront/anvilfront/internal/platform"
 	"github.com/anvilfront/anvilfront/internal/settings"
 )
@@ -30,6 +31,7 @@
 	HostCount   int           // entry hosts over all data centres, in turn; default 4
 	ServerCount int           // backend servers over all data centres, in turn; default 8
 	Slots       int           // per backend server; default 6
+	ServerSlots int           // requests that a backend server bears; default Slots
 	ServiceTime time.Duration // default 5ms
 	ColdSlots   int           // see fake.Backend; default 0
 	Notice      time.Duration // see settings.Settings; default 200ms
@@ -39,6 +41,8 @@
 	Order       string        // further lines of the route of orders
 	FirstPort   int           // entry host i listens for callers on FirstPort+i; 0: free ports
 	Log         *zap.Logger   // default: none
+	// Dial wraps how entry host i connects to others; nil: not at all.
+	Dial func(i int, dial peer.Dial) peer.Dial
 }
 
 func (c *Config) setDefaults() {
@@ -54,6 +58,9 @@
 			*p = v
 		}
 	}
+	if c.ServerSlots == 0 {
+		c.ServerSlots = c.Slots
+	}
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
@@ -96,7 +103,7 @@
 	}
 	for i := range c.ServerCount {
 		b := &fake.Backend{
-			Slots: c.Slots, ServiceTime: c.ServiceTime, Instance: fmt.Sprintf("b%d", i+1), ColdSlots: c.ColdSlots, Orders: f.Orders,
+			Slots: c.ServerSlots, ServiceTime: c.ServiceTime, Instance: fmt.Sprintf("b%d", i+1), ColdSlots: c.ColdSlots, Orders: f.Orders,
 		}
 		if err := b.Start(); err != nil {
 			return nil, err
@@ -139,7 +146,11 @@
 	}
 	s.Platform, s.Peers = []string{f.Platform.URL()}, f.peers
 	s.Notice, s.StopBound = manifest.Duration(f.Notice), manifest.Duration(f.StopBound)
-	e, err := entryhost.New(s, f.Log.With(zap.String("host", s.Name)))
+	var options []entryhost.Option
+	if f.Dial != nil {
+		options = append(options, entryhost.WithPeerDial(func(d peer.Dial) peer.Dial { return f.Dial(i, d) }))
+	}
+	e, err := entryhost.New(s, f.Log.With(zap.String("host", s.Name)), options...)
 	if err != nil {
 		return errors.Wrapf(err, "start %s", s.Name)
 	}
@@ -217,6 +228,9 @@
 	return true
 }
 
+// PeerAddress returns the peer address of entry host i, which stays the same.
+func (f *Fleet) PeerAddress(i int) string { return f.peers[i] }
+
 // Publish publishes the next revision of the manifest.
 func (f *Fleet) Publish() {
 	f.mu.Lock()
@@ -249,6 +263,13 @@
 	return b.String()
 }
 
+// Manifest returns the bytes published last.
+func (f *Fleet) Manifest() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return []byte(f.manifest())
+}
+
 // Revision returns the revision published last.
 func (f *Fleet) Revision() uint64 {
 	f.mu.Lock()
--- a/internal/proctest/faults_test.go
+++ b/internal/proctest/faults_test.go
@@ -32,8 +32,7 @@
 	{name: "PlatformStale", guard: "a restarted host that brings an older manifest back", inflict: stalePlatform},
 	{name: "ManifestRace", guard: "hosts that change between two manifests of one revision or go back", inflict: raceManifests},
 	{name: "PlannedStop", guard: "a planned stop that cuts requests or loses orders", inflict: plannedStop, check: checkPlannedStop},
-	{name: "ColdServer", guard: "a restarted backend server that gets more than it bears", inflict: restartServer,
-		edit: func(b *fake.Backend) { b.Slots, b.ColdSlots = slots, 2 }, check: checkCold},
+	{name: "ColdServer", guard: "a restarted backend server that gets more than it bears", inflict: restartServer},
 	{name: "CrashingRequest", guard: "one request that crashes server after server", inflict: crashServers,
 		edit: func(b *fake.Backend) { b.CrashPath = crashPath }},
 	{name: "KilledCentre", guard: "a data centre without entry hosts whose servers are overloaded or lost for good", inflict: killCentre},
@@ -96,7 +95,7 @@
 	f.t.Logf("pause %s", f.hosts[i].name)
 	f.signal(i, syscall.SIGSTOP)
 	paused := time.Now()
-	time.Sleep(20 * time.Millisecond)
+	late := f.sendLate(i)
 	f.hosts[i].aside.Store(true) // the balancer notices
 	f.out, f.leaving[0] = "dc2", true
 	f.publish()
@@ -110,10 +109,36 @@
 	// Each thread of the paused process may have been between check and write.
 	f.quiet(1500*time.Millisecond, threads, 0, 1, 3)
 	f.t.Logf("%d requests were past the check", f.runs([]int{0, 1, 3})-before)
+	late.Wait()
 	f.out, f.leaving[0] = "", false
 	f.publish()
 }
 
+// sendLate sends requests to a paused host, which reads them when it wakes, and
+// checks the answers.
+func (f *fleet) sendLate(i int) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for n := range 20 {
+		wg.Go(func() {
+			c := &localfleet.Client{}
+			defer c.Close()
+			method, path, id := "GET", fmt.Sprintf("/lot/late%d", n), ""
+			if n%2 == 0 {
+				method, path, id = "POST", "/orders/late", fmt.Sprintf("late%d", n)
+			}
+			a := c.Do(f.hosts[i].listen, method, path, "", id)
+			if a.Verdict == verdict.Ran && a.Status == http.StatusOK && a.Body != "ok "+path+" "+id+"\n" {
+				f.t.Errorf("late request %d got %q", n, a.Body)
+			}
+			if runs := f.orders.Count(id); id != "" && a.Verdict == verdict.NotRun && runs != 0 {
+				f.t.Errorf("late order %d: told not to have run, ran %d times", n, runs)
+			}
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	return &wg
+}
+
 // failAfterRead lets the platform deliver a new revision once and then fail.
 func failAfterRead(f *fleet, _ *load) {
 	f.revision++
@@ -163,10 +188,11 @@
 			f.see(i, other)
 		}
 	}
-	// Ends the watches of dc2 at the first platform.
+	// Ends the watches at the first platform; watchers back off and ask again.
 	f.platform.SetDown(true)
+	time.Sleep(100 * time.Millisecond)
 	f.platform.SetDown(false)
-	time.Sleep(time.Second)
+	f.eventually(10*time.Second, "both platforms have watchers", func() bool { return f.platform.Waiting() > 0 && other.Waiting() > 0 })
 	f.revision++
 	raw := f.manifest(f.revision)
 	both := [][]byte{raw, append([]byte("# other bytes\n"), raw...)}
@@ -245,20 +271,24 @@
 	}
 }
 
-// restartServer kills a backend server and starts it cold.
+// restartServer restarts a backend server as a new instance whose requests take
+// so long at first that none succeeds. Until then its limit is 1.
 func restartServer(f *fleet, _ *load) {
-	b := f.servers[f.rand.IntN(serverCount)]
-	b.Crash()
-	time.Sleep(300 * time.Millisecond)
-	f.must(b.Start())
-	time.Sleep(2 * time.Second)
-}
-
-func checkCold(t *testing.T, f *fleet, _ localfleet.Result) {
-	for i, b := range f.servers {
-		if b.ColdOverloads() != 0 || b.Sheds() != 0 {
-			t.Errorf("b%d: %d requests beyond what a cold server bears, %d beyond its slots", i+1, b.ColdOverloads(), b.Sheds())
+	for _, down := range []time.Duration{0, 300 * time.Millisecond} {
+		b := f.servers[f.rand.IntN(serverCount)]
+		b.Crash()
+		time.Sleep(down)
+		b.Set(fake.Behaviour{Slow: 150}) // 450 to 750 ms
+		b.TakePeak()
+		before := b.Runs()
+		f.must(b.Start())
+		f.eventually(5*time.Second, "the cold server is used", func() bool { return b.Runs() > before })
+		time.Sleep(300 * time.Millisecond)
+		if peak := b.TakePeak(); peak > 1 {
+			f.t.Errorf("%s had %d requests in flight before its first success, after %v down", b.Instance, peak, down)
 		}
+		b.Set(fake.Behaviour{})
+		time.Sleep(time.Second)
 	}
 }
 
