Tell an unnoticed cold start from one with failed requests

Cause: a backend server that is restarted within milliseconds is a fault of its own. Change: ColdServer has the server down for 300 ms, ColdServerUnnoticed not at all.

--- a/internal/proctest/faults_test.go
+++ b/internal/proctest/faults_test.go
@@ -32,7 +32,9 @@
 	{name: "PlatformStale", guard: "a restarted host that brings an older manifest back", inflict: stalePlatform},
 	{name: "ManifestRace", guard: "hosts that change between two manifests of one revision or go back", inflict: raceManifests},
 	{name: "PlannedStop", guard: "a planned stop that cuts requests or loses orders", inflict: plannedStop, check: checkPlannedStop},
-	{name: "ColdServer", guard: "a restarted backend server that gets more than it bears", inflict: restartServer},
+	{name: "ColdServer", guard: "a restarted backend server that gets more than one request before its first success",
+		inflict: restartServer(300 * time.Millisecond)},
+	{name: "ColdServerUnnoticed", guard: "the same where no request failed meanwhile", inflict: restartServer(0)},
 	{name: "CrashingRequest", guard: "one request that crashes server after server", inflict: crashServers,
 		edit: func(b *fake.Backend) { b.CrashPath = crashPath }},
 	{name: "KilledCentre", guard: "a data centre without entry hosts whose servers are overloaded or lost for good", inflict: killCentre},
@@ -271,10 +273,11 @@
 	}
 }
 
-// restartServer restarts a backend server as a new instance whose requests take
-// so long at first that none succeeds. Until then its limit is 1.
-func restartServer(f *fleet, _ *load) {
-	for _, down := range []time.Duration{0, 300 * time.Millisecond} {
+// restartServer restarts a backend server, after it was down for a while, as a
+// new instance whose requests take so long at first that none succeeds. Until
+// then its limit is 1.
+func restartServer(down time.Duration) func(f *fleet, _ *load) {
+	return func(f *fleet, _ *load) {
 		b := f.servers[f.rand.IntN(serverCount)]
 		b.Crash()
 		time.Sleep(down)
