--- a/internal/controller/orders/rules_test.go
+++ b/internal/controller/orders/rules_test.go
@@ -43,52 +43,59 @@
 	})
 }
 
+type want struct {
+	verdict verdict.Verdict
+	reason  verdict.Reason
+	fresh   bool
+}
+
+const (
+	unknown = verdict.MayHaveRun
+	notRun  = verdict.NotRun
+	ran     = verdict.Ran
+)
+
+var none request
+
+// answerCases are a first request to a host and, unless none, a second one to
+// host 2 under the same key. Host 0 issued the key.
+var answerCases = map[string]struct {
+	host   int
+	first  request
+	want   want
+	second request
+	then   want
+}{
+	"at the owner, again":      {0, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"forwarded, again":         {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"another body":             {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "b"}, want{unknown, verdict.ReasonKeyConflict, false}},
+	"another route":            {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{path: "/booking", body: "a"}, want{unknown, verdict.ReasonKeyConflict, false}},
+	"refused, again":           {0, request{body: "a", admission: "f"}, want{notRun, verdict.ReasonOverload, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
+	"refused at the owner":     {1, request{body: "a", admission: "f"}, want{notRun, verdict.ReasonOverload, true}, none, want{}},
+	"shed":                     {1, request{body: "a", backend: "ssss"}, want{notRun, verdict.ReasonShed, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
+	"connection refused":       {1, request{body: "a", backend: "cccc"}, want{notRun, verdict.ReasonConnectFailed, true}, none, want{}},
+	"reset, again":             {0, request{body: "a", backend: "rrrr"}, want{unknown, verdict.ReasonAnswerCut, false}, request{body: "a"}, want{unknown, verdict.ReasonAnswerCut, false}},
+	"too large to keep, again": {0, request{body: "a", backend: "LLLL"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNotKept, false}},
+	"lost forward, again":      {1, request{body: "a", net: "l"}, want{unknown, verdict.ReasonOwnerUnconfirmed, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"lost reply, again":        {1, request{body: "a", net: "r"}, want{unknown, verdict.ReasonOwnerUnconfirmed, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"no forward":               {1, request{body: "a", net: "x"}, want{unknown, verdict.ReasonOwnerGone, false}, none, want{}},
+	"panic":                    {0, request{body: "a", admission: "p"}, want{unknown, verdict.ReasonInternal, false}, request{body: "a"}, want{unknown, verdict.ReasonInternal, false}},
+	"no route, elsewhere":      {1, request{path: "/none"}, want{unknown, verdict.ReasonNoRoute, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"no route, at the owner":   {0, request{path: "/none"}, want{notRun, verdict.ReasonNoRoute, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
+	"idempotent route":         {0, request{path: "/lookup"}, want{unknown, verdict.ReasonKeyUnexpected, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
+	"damaged key":              {1, request{key: "AQ", body: "a"}, want{unknown, verdict.ReasonKeyMalformed, false}, none, want{}},
+	"key required":             {1, request{path: "/booking", key: "-"}, want{notRun, verdict.ReasonKeyRequired, true}, none, want{}},
+	"no key":                   {1, request{body: "a", key: "-"}, want{ran, verdict.ReasonNone, false}, none, want{}},
+	"no key, shed":             {1, request{body: "a", key: "-", backend: "osoo"}, want{notRun, verdict.ReasonShed, false}, none, want{}},
+	"no key, reset":            {1, request{body: "a", key: "-", backend: "rrrr"}, want{unknown, verdict.ReasonAnswerCut, false}, none, want{}},
+	"in time":                  {1, request{body: "a", deadline: time.Second, admission: "w"}, want{notRun, verdict.ReasonDeadline, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
+	"answered late":            {1, request{body: "a", deadline: time.Second, backend: "HHHH"}, want{unknown, verdict.ReasonAnswerTimeout, false}, request{body: "a", deadline: time.Second}, want{unknown, verdict.ReasonAnswerTimeout, false}},
+}
+
 // TestAnswers guards against a wrong verdict, reason or fresh key for a first
-// and a second request. The key is issued by host 0.
+// and a second request.
 func TestAnswers(t *testing.T) {
-	const (
-		unknown = verdict.MayHaveRun
-		notRun  = verdict.NotRun
-		ran     = verdict.Ran
-	)
-	type want struct {
-		verdict verdict.Verdict
-		reason  verdict.Reason
-		fresh   bool
-	}
-	none := request{}
-	for name, c := range map[string]struct {
-		host   int
-		first  request
-		want   want
-		second request // sent to host 2 under the same key, unless zero
-		then   want
-	}{
-		"at the owner, again":      {0, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"forwarded, again":         {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"another body":             {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{body: "b"}, want{unknown, verdict.ReasonKeyConflict, false}},
-		"another route":            {1, request{body: "a"}, want{ran, verdict.ReasonNone, false}, request{path: "/booking", body: "a"}, want{unknown, verdict.ReasonKeyConflict, false}},
-		"refused, again":           {0, request{body: "a", admission: "f"}, want{notRun, verdict.ReasonOverload, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
-		"refused at the owner":     {1, request{body: "a", admission: "f"}, want{notRun, verdict.ReasonOverload, true}, none, want{}},
-		"shed":                     {1, request{body: "a", backend: "ssss"}, want{notRun, verdict.ReasonShed, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
-		"connection refused":       {1, request{body: "a", backend: "cccc"}, want{notRun, verdict.ReasonConnectFailed, true}, none, want{}},
-		"reset, again":             {0, request{body: "a", backend: "rrrr"}, want{unknown, verdict.ReasonAnswerCut, false}, request{body: "a"}, want{unknown, verdict.ReasonAnswerCut, false}},
-		"too large to keep, again": {0, request{body: "a", backend: "LLLL"}, want{ran, verdict.ReasonNone, false}, request{body: "a"}, want{ran, verdict.ReasonNotKept, false}},
-		"lost forward, again":      {1, request{body: "a", net: "l"}, want{unknown, verdict.ReasonOwnerUnconfirmed, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"lost reply, again":        {1, request{body: "a", net: "r"}, want{unknown, verdict.ReasonOwnerUnconfirmed, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"no forward":               {1, request{body: "a", net: "x"}, want{unknown, verdict.ReasonOwnerGone, false}, none, want{}},
-		"panic":                    {0, request{body: "a", admission: "p"}, want{unknown, verdict.ReasonInternal, false}, request{body: "a"}, want{unknown, verdict.ReasonInternal, false}},
-		"no route, elsewhere":      {1, request{path: "/none"}, want{unknown, verdict.ReasonNoRoute, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"no route, at the owner":   {0, request{path: "/none"}, want{notRun, verdict.ReasonNoRoute, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
-		"idempotent route":         {0, request{path: "/lookup"}, want{unknown, verdict.ReasonKeyUnexpected, false}, request{body: "a"}, want{ran, verdict.ReasonNone, false}},
-		"damaged key":              {1, request{key: "AQ", body: "a"}, want{unknown, verdict.ReasonKeyMalformed, false}, none, want{}},
-		"key required":             {1, request{path: "/booking", key: "-"}, want{notRun, verdict.ReasonKeyRequired, true}, none, want{}},
-		"no key":                   {1, request{body: "a", key: "-"}, want{ran, verdict.ReasonNone, false}, none, want{}},
-		"no key, shed":             {1, request{body: "a", key: "-", backend: "ssss"}, want{notRun, verdict.ReasonRetryBudget, false}, none, want{}},
-		"no key, reset":            {1, request{body: "a", key: "-", backend: "rrrr"}, want{unknown, verdict.ReasonAnswerCut, false}, none, want{}},
-		"in time":                  {1, request{body: "a", deadline: time.Second, admission: "w"}, want{notRun, verdict.ReasonDeadline, true}, request{body: "a"}, want{notRun, verdict.ReasonKeyRevoked, true}},
-		"answered late":            {1, request{body: "a", deadline: time.Second, backend: "HHHH"}, want{unknown, verdict.ReasonAnswerTimeout, false}, request{body: "a", deadline: time.Second}, want{unknown, verdict.ReasonAnswerTimeout, false}},
-	} {
+	for name, c := range answerCases {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(is *is.I, w *world, send func(int, request) filter.Outcome) {
 				// A copy would answer after a lost reply if it came in time; TestOwnerGone covers that.
@@ -183,7 +190,7 @@
 // TestPlannedStop guards against a successor that forgets what ran or refuses
 // unused keys, and against a transfer to a second host after an unconfirmed one.
 func TestPlannedStop(t *testing.T) {
-	for fault, answered := range map[byte]bool{'o': true, 'x': true, 'r': true, 'l': false} {
+	for fault, answered := range map[byte]bool{'o': true, 'x': true, 'r': true, 'l': true, 'X': true, 'R': true, 'L': false} {
 		inBubble(t, func(is *is.I, w *world, send func(int, request) filter.Outcome) {
 			h := w.hosts[0]
 			used, unused, running := h.key(), h.key(), h.key()
@@ -197,6 +204,8 @@
 			is.Equal(verdict.From(err).Reason, verdict.ReasonStopping)
 			out := send(1, request{key: used, body: "a"}) // still forwarded to host 0
 			is.Equal(out.Verdict, verdict.Ran)
+			// A refusal by another filter names the successor, too.
+			is.Equal(send(0, request{path: "/none", key: used}).Reason, verdict.ReasonOwnerSealed)
 			h.dead.Store(true)
 			for _, o := range w.hosts {
 				w.refresh(o)
@@ -230,6 +239,7 @@
 		b := old.ctl.own
 		again := &wire.HandOverRequest{Owner: old.inc, Payload: b.Export(old.clock.Now(), b.Secret)}
 		accept := func(r *wire.HandOverRequest) bool {
+			r.Parts = max(r.Parts, 1)
 			reply := &wire.HandOverReply{}
 			is.NoErr(w.hosts[1].ctl.Service().HandOver(r, reply))
 			return reply.Accepted
@@ -245,6 +255,34 @@
 	})
 }
 
+// TestParts guards against a transfer that is put together from parts in the
+// wrong order, of two senders or without bound.
+func TestParts(t *testing.T) {
+	is := is.New(t)
+	in := incoming{parts: map[uint64]*partial{}}
+	add := func(owner uint64, part int) string {
+		p, ok := in.add(owner, part, 3, []byte{byte('a' + part)}, 3)
+		if !ok {
+			return "refused"
+		}
+		return string(p)
+	}
+	is.Equal(add(1, 1), "refused") // no first part
+	is.Equal(add(1, 0), "")
+	is.Equal(add(2, 0), "")
+	is.Equal(add(1, 2), "refused") // part 1 is missing
+	is.Equal(add(1, 1), "")
+	is.Equal(add(1, 1), "refused") // repeated
+	is.Equal(add(1, 2), "abc")
+	is.Equal(add(1, 2), "refused") // repeated after the end
+	for owner := range uint64(100) {
+		is.Equal(add(owner, 0), "")
+		is.True(len(in.parts) <= maxIncoming)
+	}
+	_, ok := in.add(99, 1, 3, []byte("long"), 3)
+	is.True(!ok) // over the limit
+}
+
 // TestIssue guards against issuing too many keys at a time or altogether.
 func TestIssue(t *testing.T) {
 	inBubble(t, func(is *is.I, w *world, _ func(int, request) filter.Outcome) {
