Be ready only when leases are known; open fewer connections ahead

Cause: a new process was ready before any pool had a holder, so that its first requests were refused. Connections opened ahead came to the slots of every server, 3,300 per entry host at the target size. Change: readiness waits until the holder of each pool is known, for at most one lease term and a second. Two connections per server are kept, for 2 minutes. The leases controller asks members whether the host is alone.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -20,7 +20,7 @@
 type Options struct {
 	MaxBody     int           // bytes of an answer's body; default 8 MiB
 	DialTimeout time.Duration // bound on opening a connection; default 500ms
-	IdleLimit   time.Duration // an idle connection is closed after this; default 30s
+	IdleLimit   time.Duration // an idle connection is closed after this; default 2m
 	Connections int           // connections to a server that SetServers did not name; default 250
 }
 
@@ -36,7 +36,8 @@
 		o.DialTimeout = 500 * time.Millisecond
 	}
 	if o.IdleLimit == 0 {
-		o.IdleLimit = 30 * time.Second
+		// Two connections to each of 550 servers are then opened anew 9 times a second.
+		o.IdleLimit = 2 * time.Minute
 	}
 	if o.Connections == 0 {
 		o.Connections = DefaultConnections
--- a/internal/controller/connections/connections.go
+++ b/internal/controller/connections/connections.go
@@ -16,6 +16,11 @@
 	Warm(address string, n int)
 }
 
+// ahead is how many idle connections are kept to each backend server. At the
+// target size an entry host sends about two requests a second to each of 550
+// servers; 2 connections to each take about 15 MB of buffers.
+const ahead = 2
+
 // Controller follows the manifest and the number of entry hosts.
 type Controller struct {
 	Store     *state.Store
@@ -46,7 +51,7 @@
 	}
 	c.manifest, c.hosts = snap.Manifest, hosts
 	var servers []backend.Server
-	ahead := map[string]int{}
+	idle := map[string]int{}
 	for id, p := range snap.Manifest.Pools {
 		for _, b := range p.Servers {
 			share := Share(b.Connections, hosts)
@@ -54,12 +59,12 @@
 				Address: b.Address, Limit: share, PerSecond: snap.Manifest.Services[id.Service].ConnectionsPerSecond,
 			})
 			if !p.Out && !b.Leaving {
-				ahead[b.Address] = min(share, b.Slots)
+				idle[b.Address] = min(share, b.Slots, ahead)
 			}
 		}
 	}
 	c.Transport.SetServers(servers)
-	for address, n := range ahead {
+	for address, n := range idle {
 		c.Transport.Warm(address, n)
 	}
 }
--- a/internal/controller/connections/connections_test.go
+++ b/internal/controller/connections/connections_test.go
@@ -35,7 +35,7 @@
 	})
 	service := &manifest.Service{Name: "s", ConnectionsPerSecond: 5}
 	pool := &manifest.Pool{ID: manifest.PoolID{Service: "s"}, Service: service, Servers: []*manifest.BackendServer{
-		{Address: "a", Slots: 6, Connections: 250}, {Address: "b", Slots: 6, Connections: 4}, {Address: "c", Slots: 6, Connections: 250, Leaving: true},
+		{Address: "a", Slots: 6, Connections: 250}, {Address: "b", Slots: 6, Connections: 1}, {Address: "c", Slots: 6, Connections: 250, Leaving: true},
 	}}
 	store, r := state.NewStore(state.Member{Name: "eh1"}), &recorder{}
 	c := &Controller{Store: store, Transport: r}
@@ -47,7 +47,7 @@
 	c.apply()
 	c.apply()
 	is.Equal(r.calls, 1) // unchanged state is applied once
-	is.Equal(r.ahead, map[string]int{"a": 6, "b": 4})
+	is.Equal(r.ahead, map[string]int{"a": ahead, "b": 1})
 	store.Update(func(s *state.Snapshot) { s.Members = &state.Members{Listed: make([]string, 2)} })
 	c.apply()
 	is.Equal(r.servers[0], backend.Server{Address: "a", Limit: 125, PerSecond: 5})
--- a/internal/entryhost/assemble.go
+++ b/internal/entryhost/assemble.go
@@ -84,7 +84,7 @@
 	})
 	e.leases = leases.New(leases.Config{
 		Clock: e.clock, Store: e.store, Caller: e.peerClient, Gossip: e.members, Header: e.members.Header,
-		Handover: e.pools, Counters: e.counters, Log: log.Named("leases"), Rand: newRand(), Alone: len(s.Peers) == 0,
+		Handover: e.pools, Counters: e.counters, Log: log.Named("leases"), Rand: newRand(), Alone: e.members.Alone,
 	})
 	e.orders, err = orders.New(orders.Config{
 		Clock: e.clock, Store: e.store, Peers: e.peerClient, Gossip: e.members, Counters: e.counters,
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -25,6 +25,7 @@
 	"github.com/anvilfront/anvilfront/internal/controller/suspects"
 	"github.com/anvilfront/anvilfront/internal/filters"
 	"github.com/anvilfront/anvilfront/internal/front"
+	"github.com/anvilfront/anvilfront/internal/lease"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/metrics"
 	"github.com/anvilfront/anvilfront/internal/operator"
@@ -66,10 +67,12 @@
 
 	stopping *filters.Stopping
 	stage    atomic.Int32
-	abort    context.CancelFunc // ends Run without waiting for anything
-	aborted  context.Context
-	closing  sync.Once
-	done     chan struct{} // closed when Run returns
+	// leasesSeen is set once the holders of all pools were known.
+	leasesSeen atomic.Bool
+	abort      context.CancelFunc // ends Run without waiting for anything
+	aborted    context.Context
+	closing    sync.Once
+	done       chan struct{} // closed when Run returns
 }
 
 // New assembles an entry host and opens its listeners. Run comes next.
@@ -140,8 +143,34 @@
 		return false, "no manifest in force"
 	case !pause.Fresh(e.store, e.clock.Now()):
 		return false, "the process was paused and refreshes its state"
+	case !e.settled():
+		return false, "the leases of the pools are not known yet"
 	}
 	return true, ""
 }
 
+// settleBound is how long a new process waits to learn the leases. One term
+// after the start of a whole fleet they are held.
+const settleBound = lease.Term + time.Second
+
+// settled reports whether the holder of each pool is known, or was once, or
+// settleBound is over: a pool without a holder later on must not take every
+// entry host out of the balancer.
+func (e *EntryHost) settled() bool {
+	if e.leasesSeen.Load() {
+		return true
+	}
+	s, now := e.store.Load(), e.clock.Now()
+	if now.Sub(0) < settleBound {
+		for id := range s.Manifest.Pools {
+			holder := s.Leases.Holders[id]
+			if held := s.Leases.Held[id]; holder == "" || holder == s.Members.Self.Name && (held == nil || !held.Valid(now)) {
+				return false
+			}
+		}
+	}
+	e.leasesSeen.Store(true)
+	return true
+}
+
 func bound(d manifest.Duration) time.Duration { return time.Duration(d) }
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -1,4 +1,4 @@
-package entryhost
+package entryhost_test
 
 import (
 	"context"
@@ -9,8 +9,10 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/anvilfront/anvilfront/internal/entryhost"
 	"github.com/anvilfront/anvilfront/internal/fake"
 	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/localfleet"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/settings"
 )
@@ -45,12 +47,13 @@
 	s.Name, s.DataCentre, s.Plaintext = "eh1", "ktm1", true
 	s.Listen, s.Peer, s.Operator = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Notice = 0
-	e, err := New(s, zap.NewNop())
+	e, err := entryhost.New(s, zap.NewNop())
 	is.NoErr(err)
 	e.Accept(m)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- e.Run(ctx) }()
+	is.NoErr(localfleet.Wait(ctx, func() bool { ready, _ := e.Ready(); return ready }))
 
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	req.SetRequestURI("http://" + e.Address() + "/status/7")
