Keep the reduced slots free when a dead holder is followed

Cause: in the process tests a server with 4 slots had 6 requests in flight after its holder was killed (PlatformStale). The new holder ramped its limits up within 200 ms, while hosts that had not heard of it still used their reduced limit. Change: a holder that takes over without a hand-over leaves floor(slots/2) slots of each server unused for 1 s, the time news of a holder take.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -37,6 +37,9 @@
 	view    *View
 	stats   Stats
 	scratch []float64
+
+	reserved      bool // floor(slots/2) slots of each server are kept free
+	reservedUntil clock.Time
 }
 
 // NewPool returns a pool without servers.
@@ -82,6 +85,14 @@
 	}
 }
 
+// Reserve keeps floor(slots/2) slots of each server free until the given time.
+// A holder that follows a dead one needs it: entry hosts that have not heard of
+// the new holder use these slots under the reduced limit.
+func (p *Pool) Reserve(until clock.Time) {
+	p.reserved, p.reservedUntil = true, until
+	p.rebuild()
+}
+
 // SetPeerMedians sets the median service times of the service's other pools.
 func (p *Pool) SetPeerMedians(medians []time.Duration) {
 	p.peers = p.peers[:0]
--- a/internal/balance/view.go
+++ b/internal/balance/view.go
@@ -47,6 +47,7 @@
 // whether it did.
 func (p *Pool) Refresh(now clock.Time) bool {
 	changed := len(p.view.Servers) != len(p.servers)
+	p.reserved = p.reserved && now.Before(p.reservedUntil)
 	median := p.median()
 	for i, s := range p.servers {
 		if !now.Before(s.foreignUntil) {
@@ -67,6 +68,9 @@
 	if s.ejected {
 		v.Limit = 1
 	}
+	if p.reserved {
+		v.Limit = min(v.Limit, s.slots-s.slots/2)
+	}
 	v.Limit = max(1, min(v.Limit, s.slots-s.foreign))
 	// Steps of 1/16 keep small movements from publishing a view per request.
 	v.Weight = max(1, float64(int(s.weight(median)*16+0.5))) / 16
--- a/internal/controller/pools/handover.go
+++ b/internal/controller/pools/handover.go
@@ -105,13 +105,14 @@
 	}
 }
 
-// adopt takes over what the holder before had in flight. Its slots stay taken
-// until their run limit, because their ends are reported to the old holder.
-func (h *holder) adopt() {
+// adopt takes over what the holder before had in flight, and reports whether
+// there was a hand-over. Its slots stay taken until their run limit, because
+// their ends are reported to the old holder.
+func (h *holder) adopt() bool {
 	a, ok := (*h.c.adopted.Load())[h.id]
 	pub, now := h.view.Load(), h.c.clock.Now()
 	if !ok || pub.pool == nil {
-		return
+		return false
 	}
 	h.c.editAdopted(func(t map[manifest.PoolID]adoption) { delete(t, h.id) })
 	for _, in := range a.release.Inflight {
@@ -129,6 +130,7 @@
 		}
 	}
 	h.publish()
+	return true
 }
 
 // occupy takes one slot of server i until expires.
--- a/internal/controller/pools/holder.go
+++ b/internal/controller/pools/holder.go
@@ -29,6 +29,10 @@
 	giveUpFactor = 3
 )
 
+// holderNews is how long news of a new holder take to reach the connected entry
+// hosts: 5 rounds of heartbeats of 200 ms for 16 to 32 hosts.
+const holderNews = time.Second
+
 // holder runs one pool whose lease this process holds. Requests take slots
 // through the published view; the run goroutine is the only writer of the
 // pool's state and of its queue.
@@ -98,7 +102,10 @@
 	}
 	h.view.Store(&published{view: h.pool.View()})
 	h.refresh()
-	h.adopt()
+	if !h.adopt() {
+		h.pool.Reserve(c.clock.Now().Add(holderNews))
+		h.publish()
+	}
 	return h
 }
 
--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -123,6 +123,40 @@
 	})
 }
 
+// TestTakeOverLeavesReducedSlots guards against a new holder that fills a server
+// while other entry hosts still use it under the reduced limit.
+func TestTakeOverLeavesReducedSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost(t, "eh1", nil, nil)
+		defer h.stop()
+		h.accept(parse(t, 1, 1, false, ""))
+		h.hold()
+		synctest.Wait()
+		most := func() (n int) {
+			var grants []*filter.Grant
+			for range 4 {
+				if g, _ := h.acquire(ask); g != nil {
+					grants = append(grants, g)
+				}
+			}
+			time.Sleep(time.Millisecond)
+			for _, g := range grants {
+				h.Release(g, ran)
+			}
+			synctest.Wait()
+			return len(grants)
+		}
+		start, early := time.Now(), 0
+		for time.Since(start) < holderNews-10*time.Millisecond {
+			early = max(early, most())
+		}
+		is.Equal(early, 2) // 4 slots, 2 of them kept free
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(most(), 4)
+	})
+}
+
 // TestRemoteGrants guards against remote grants that are not ended by Done, and
 // against slots that stay taken when the reply was lost.
 func TestRemoteGrants(t *testing.T) {
