--- a/internal/fleettest/measure_test.go
+++ b/internal/fleettest/measure_test.go
@@ -25,8 +25,11 @@
 	"github.com/anvilfront/anvilfront/internal/wire"
 )
 
-// measureFor is the time that each size is observed, after it has settled.
-const measureFor = 15 * time.Second
+// Each size is observed for measureFor, at least settleFor after it has settled.
+const (
+	measureFor = 15 * time.Second
+	settleFor  = 10 * time.Second
+)
 
 // BenchmarkControl measures the control cost of one entry host on loopback TCP
 // with TLS. It observes each size for measureFor, so run it with -benchtime 1x.
@@ -91,7 +94,10 @@
 	if loads {
 		go f.publishLoads(ctx)
 	}
-	time.Sleep(10 * time.Second) // first contacts, connections and news are over
+	time.Sleep(settleFor) // first contacts, connections and most news are over
+	if hosts == 64 && servers == 550 {
+		time.Sleep(3 * settleFor) // 64 members and 196 holders are news for 30 s
+	}
 	before := f.sample(raw)
 	time.Sleep(measureFor / 2)
 	publish(2)
