Do not count silence of a cut-off asker against backend servers

Cause: in a half and half partition the side with a pool's former holder served nothing. Grants that askers on the other side had taken could not be reported as ended, so within 100 ms they counted as overdue, the holder took all servers of the pool for stragglers, and without a lease only warm servers are used. Change: the age of a remote grant is counted up to the last message of its asker.

--- a/internal/controller/pools/grants.go
+++ b/internal/controller/pools/grants.go
@@ -172,6 +172,45 @@
 	}
 }
 
+// contact notes that a message of an asker arrived. The table is copied for an
+// asker that is not known yet, which happens once per process.
+func (c *Controller) contact(asker uint64, now clock.Time) {
+	for {
+		old := c.contacts.Load()
+		if at := (*old)[asker]; at != nil {
+			at.Store(int64(now))
+			return
+		}
+		next := make(map[uint64]*atomic.Int64, len(*old)+1)
+		for k, v := range *old {
+			if len(*old) < maxContacts || now.Sub(clock.Time(v.Load())) < contactLife {
+				next[k] = v
+			}
+		}
+		next[asker] = &atomic.Int64{}
+		c.contacts.CompareAndSwap(old, &next)
+	}
+}
+
+// Bounds of the table of contacts. Grants end within run limits of some seconds.
+const (
+	maxContacts = 256
+	contactLife = time.Minute
+)
+
+// age returns how long a grant is known to have run. A remote asker that is not
+// heard from cannot report the end, so the time since then counts for nothing:
+// otherwise a partition would make all servers of a holder look slow.
+func (c *Controller) age(rec *record, now clock.Time) time.Duration {
+	if !rec.remote {
+		return now.Sub(rec.at)
+	}
+	if at := (*c.contacts.Load())[rec.asker]; at != nil {
+		return max(0, clock.Time(at.Load()).Sub(rec.at))
+	}
+	return 0
+}
+
 // left returns the longest time until a grant on the backend expires.
 func (b *backend) left(now clock.Time) time.Duration {
 	var d time.Duration
--- a/internal/controller/pools/keep.go
+++ b/internal/controller/pools/keep.go
@@ -77,7 +77,7 @@
 				return
 			}
 			if rec.holder == h {
-				h.ages = append(h.ages, now.Sub(rec.at))
+				h.ages = append(h.ages, h.c.age(rec, now))
 			}
 		})
 		if h.pool.Ages(b.key, h.ages, now) {
--- a/internal/controller/pools/pools.go
+++ b/internal/controller/pools/pools.go
@@ -53,9 +53,10 @@
 	sequence atomic.Uint64 // of grants
 
 	adopted  atomic.Pointer[map[manifest.PoolID]adoption]
-	manifest *manifest.Manifest // last one applied; Run only
-	listed   []string           // last list applied; Run only
-	ready    chan struct{}      // closed after the first sync
+	contacts atomic.Pointer[map[uint64]*atomic.Int64] // clock.Time of the last message, by incarnation of an asker
+	manifest *manifest.Manifest                       // last one applied; Run only
+	listed   []string                                 // last list applied; Run only
+	ready    chan struct{}                            // closed after the first sync
 	wg       conc.WaitGroup
 }
 
@@ -82,6 +83,7 @@
 	c.reduced.Store(&reducedTable{})
 	c.senders.Store(&map[string]*sender{})
 	c.adopted.Store(&map[manifest.PoolID]adoption{})
+	c.contacts.Store(&map[uint64]*atomic.Int64{})
 	if c.gossip != nil {
 		c.gossip.Handle(c.heard)
 	}
--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -412,3 +412,42 @@
 		is.Equal(transport.n.Load(), n)
 	})
 }
+
+// TestSilentAsker guards against servers that count as slow or cold because an
+// asker that is cut off cannot report the end of its requests. The holder's side
+// of a partition would then use none of them without a lease.
+func TestSilentAsker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &link{hosts: map[string]*host{}}
+		holder, asker := newHost(t, "eh1", l, nil), newHost(t, "eh2", l, nil)
+		defer holder.stop()
+		defer asker.stop()
+		m := parse(t, 1, 2, false, "")
+		holder.accept(m)
+		holder.warm(2, 0, 0)
+		holder.hold()
+		asker.accept(m)
+		asker.know("eh1")
+		synctest.Wait()
+		slow := ran
+		slow.ServiceTime = 20 * time.Millisecond
+		for range 100 { // service times become known
+			g, _ := holder.acquire(ask)
+			holder.Release(g, slow)
+			synctest.Wait()
+		}
+		cold := func() int { return len((*holder.holders.Load())[poolID].load().Cold) }
+		is.Equal(cold(), 0)
+		is.True(len(asker.fill()) > 4) // on both servers
+		l.refuse.Store(true)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(cold(), 0) // nothing is heard of the requests
+		l.refuse.Store(false)
+		asker.fill()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.True(cold() > 0) // the asker lives, so its requests hang
+	})
+}
--- a/internal/controller/pools/remote.go
+++ b/internal/controller/pools/remote.go
@@ -226,6 +226,7 @@
 func (r *Receiver) Acquire(req *wire.AcquireRequest, reply *wire.AcquireReply) error {
 	c := r.c
 	snap, now := c.store.Load(), c.clock.Now()
+	c.contact(req.Incarnation, now)
 	reply.Header = c.header(snap)
 	reply.Load.Pool = req.Pool
 	refuse := func(reason verdict.Reason) error {
@@ -257,6 +258,7 @@
 // Done ends grants that were given to the sender.
 func (r *Receiver) Done(req *wire.DoneRequest, reply *wire.DoneReply) error {
 	reply.Header = r.c.header(r.c.store.Load())
+	r.c.contact(req.Incarnation, r.c.clock.Now())
 	for i := range req.Done {
 		d := &req.Done[i]
 		if d.GrantID == 0 {
--- a/internal/entryhost/partition_test.go
+++ b/internal/entryhost/partition_test.go
@@ -86,6 +86,7 @@
 	const hosts, slots = 8, 6
 	for name, minor := range map[string]int{"quarter": hosts / 4, "half": hosts / 2} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			p := &partition{}
 			f := startFleet(t, localfleet.Config{
@@ -107,7 +108,7 @@
 			for range 60 { // more than the slots that can be used without a lease
 				callers.Go(func() { l.Lookups(ctx, 0) })
 			}
-			time.Sleep(2 * time.Second) // servers get warm
+			time.Sleep(6 * time.Second) // servers get warm, and holders tell so within 5 s
 			checkPeaks(t, f, slots, "before the partition")
 
 			p.minor.Store(int32(minor))
