Bound asks of other entry hosts by what the asker does with the grant

Cause: three faults in Pool.Acquire at the lease holder. - An ask of another entry host waited for up to 1.5 median service times, but the asker gives up after 100 ms and cancels its token. Where requests take more than about 67 ms, a slot was granted after the cancellation and stayed taken for the run limit with no request on it. - The slot's time was cut to the run limit in the holder's manifest. While the asker follows another revision, the slot was freed and given out again while the first request still ran, above the server's slots. - A priority outside 0 to 9 from another program version ended the pool's goroutine. Its lease went on being renewed and all requests were refused.

Change: a remote ask waits at most half of filter.GrantStart; the asker's run limit counts, up to the manifest's bound; the priority is clamped.

--- a/internal/controller/pools/holder.go
+++ b/internal/controller/pools/holder.go
@@ -161,11 +161,15 @@
 // end of the longest queue time, or ctx.
 func (h *holder) wait(ctx context.Context, cur *manifest.Pool, ask filter.Ask, now clock.Time, from *asker) (*record, verdict.Reason) {
 	limit := h.queueTime(&ask)
+	wait := min(giveUpFactor*limit, ask.Remaining)
+	if from != nil {
+		limit, wait = min(limit, remoteWait), min(wait, remoteWait)
+	}
 	w := &waiter{
 		ask: ask, pool: cur, from: from, result: make(chan result, 1),
 		item: balance.Item{
 			Priority: ask.Priority, Idempotent: ask.Idempotent, Avoid: ask.Avoid,
-			Enqueued: now, MaxWait: limit, GiveUp: now.Add(giveUpFactor * limit), Deadline: now.Add(ask.Remaining),
+			Enqueued: now, MaxWait: limit, GiveUp: now.Add(wait), Deadline: now.Add(ask.Remaining),
 		},
 	}
 	w.item.Ref = w
@@ -177,7 +181,7 @@
 		return nil, verdict.ReasonQueueFull
 	}
 	h.c.count.queued.Add(1)
-	timer := time.NewTimer(min(giveUpFactor*limit, ask.Remaining))
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	reason := verdict.ReasonOverload
 	select {
--- a/internal/controller/pools/remote.go
+++ b/internal/controller/pools/remote.go
@@ -23,6 +23,9 @@
 	doneTimeout = time.Second
 	maxDone     = 4096 // queued Done messages per holder
 	maxBatch    = 256  // Done messages in one call
+	// remoteWait bounds the time in a queue for another entry host, which gives
+	// up after filter.GrantStart. The rest is for the way there and back.
+	remoteWait = filter.GrantStart / 2
 )
 
 // sender reports ended grants to one other holder. Its run goroutine sends
@@ -241,9 +244,11 @@
 		return refuse(verdict.ReasonNoLease)
 	}
 	rec, refusal := h.acquire(context.Background(), cur, filter.Ask{
-		Priority: req.Priority, Route: req.Route, Idempotent: req.Idempotent, Avoid: req.Avoid,
+		// Another program version may know more priorities.
+		Priority: min(max(req.Priority, 0), manifest.MaxPriority),
+		Route:    req.Route, Idempotent: req.Idempotent, Avoid: req.Avoid,
 		Remaining: time.Duration(req.RemainingMicros) * time.Microsecond,
-		RunLimit:  min(time.Duration(req.RunLimitMillis)*time.Millisecond, time.Duration(cur.Service.RunLimit)),
+		RunLimit:  runLimit(req, cur),
 		Wait:      time.Duration(req.WaitMicros) * time.Microsecond, Spill: req.Spill,
 	}, now, &asker{incarnation: req.Incarnation, token: req.Token})
 	reply.Load = h.load()
@@ -254,6 +259,16 @@
 	return nil
 }
 
+// runLimit returns how long the asker's request may run. The asker may follow
+// another manifest, whose limit counts: a slot that is freed earlier would be
+// given out twice.
+func runLimit(req *wire.AcquireRequest, cur *manifest.Pool) time.Duration {
+	if req.RunLimitMillis <= 0 {
+		return time.Duration(cur.Service.RunLimit)
+	}
+	return time.Duration(min(req.RunLimitMillis, manifest.MaxRunLimit.Milliseconds())) * time.Millisecond
+}
+
 // Done ends grants that were given to the sender.
 func (r *Receiver) Done(req *wire.DoneRequest, reply *wire.DoneReply) error {
 	reply.Header = r.c.header(r.c.store.Load())
--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -205,7 +205,7 @@
 	for i := range c.file.Services {
 		s, path := &c.file.Services[i], at("services", i)
 		c.name(path, s.Name, c.services)
-		c.durations(path+".run_limit", s.RunLimit, time.Millisecond, 10*time.Minute)
+		c.durations(path+".run_limit", s.RunLimit, time.Millisecond, MaxRunLimit)
 		c.durations(path+".report_age", s.ReportAge, time.Millisecond, time.Minute)
 		c.floats(path+".probes_per_second", s.ProbesPerSecond, 0, 1e5)
 		c.floats(path+".probe_bytes_per_second", s.ProbeBytesPerSecond, 0, 1e9)
--- a/internal/manifest/check_rules.go
+++ b/internal/manifest/check_rules.go
@@ -30,7 +30,7 @@
 		c.reference(path+".service", "service", r.Service, c.services)
 		used[r.Service] = true
 		c.routeMatch(path, r)
-		c.ints(path+".priority", r.Priority, 0, 9)
+		c.ints(path+".priority", r.Priority, 0, MaxPriority)
 		c.durations(path+".deadline", r.Deadline, time.Millisecond, 5*time.Minute)
 		c.ints(path+".retries", r.Retries, 0, 10)
 		c.floats(path+".retry_percent", r.RetryPercent, 0, 100)
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -16,6 +16,12 @@
 // of one service in one data centre are split into shards.
 const MaxShard = 16
 
+// Bounds of values that entry hosts also tell each other.
+const (
+	MaxPriority = 9
+	MaxRunLimit = 10 * time.Minute
+)
+
 // Problem is one mistake or warning with its line and key.
 type Problem = tomlfile.Problem
 
