Release the grant when an attempt panics

Cause: the front end, the hedge and the order controller recover from panics and go on, but dispatch released the grant only after a normal return. A grant of this process has no expiry, so each panic took one slot of a backend server for good, and a reduced slot likewise.

Change: dispatch releases the grant with "may have run" while it unwinds.

Before: TestDispatchPanicReleases 0 releases. After: 1; go test -race ./internal/filters passes.

--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -40,6 +40,12 @@
 			limit = time.Duration(x.Service.RunLimit)
 		}
 	}
+	released := false
+	defer func() {
+		if !released { // a panic: a grant of this process has no expiry
+			d.Admitter.Release(g, filter.Report{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonInternal, Inflight: -1})
+		}
+	}()
 	refusal := verdict.ReasonNone
 	res := d.Transport.Do(ctx, &filter.Attempt{
 		Address: g.Server.Address, Request: x.Request,
@@ -54,6 +60,7 @@
 	if refusal != verdict.ReasonNone {
 		reason = refusal
 	}
+	released = true
 	d.Admitter.Release(g, report(v, reason, &res))
 	out := filter.Outcome{Verdict: v, Reason: reason, Cause: res.Err, Crashed: crashed(v, reason, &res)}
 	if v == verdict.Ran {
--- a/internal/filters/dispatch_test.go
+++ b/internal/filters/dispatch_test.go
@@ -115,3 +115,25 @@
 		is.True(p.reports[0].Failed)
 	}
 }
+
+type panicking struct{ ports }
+
+func (*panicking) Do(context.Context, *filter.Attempt) filter.Result { panic("fault in the transport") }
+
+// TestDispatchPanicReleases guards against a slot that is lost for good when an
+// attempt panics: a grant of this process has no expiry. The front end and the
+// order controller recover and go on.
+func TestDispatchPanicReleases(t *testing.T) {
+	is := is.New(t)
+	p := &panicking{}
+	d := &Dispatch{Clock: &clock.Manual{}, Admitter: p, Transport: p, Store: state.NewStore(state.Member{}), Fresh: func() bool { return true }}
+	x := exchange(true)
+	x.Service.RunLimit = manifest.Duration(time.Second)
+	x.Grant = &filter.Grant{StartBy: 1, Server: &manifest.BackendServer{}}
+	func() {
+		defer func() { is.True(recover() != nil) }()
+		d.Handle(context.Background(), x, nil)
+	}()
+	is.Equal(len(p.reports), 1)
+	is.Equal(p.reports[0].Verdict, verdict.MayHaveRun)
+}
