Keep a peer connection when a call shorter than a round trip is overdue

Cause: an overdue call closed the connection when nothing had been received during the call. The time of Order.Submit and Pool.Acquire calls comes from the caller's deadline, so a caller with a deadline of 1 ms closed the data connection under the orders of others, which then ended as "may have run".

Change: a connection is closed only when it was silent for 30 ms since the first overdue call; short calls count together, so that a dead peer is found.

Before: TestShortCallKeepsConnection "use of closed network connection". After: go test -race -count=5 ./internal/peer passes.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -17,6 +17,10 @@
 const (
 	dialTimeout  = 500 * time.Millisecond
 	writeTimeout = 2 * time.Second
+	// silence is how long a connection delivers nothing before an overdue call
+	// closes it: ten round trips between data centres of a region. A caller's
+	// deadline may be shorter than one, and other calls share the connection.
+	silence = 30 * time.Millisecond
 )
 
 // Dial opens a connection to a peer address (IP:port).
@@ -82,9 +86,9 @@
 func (c *Client) Traffic() *Traffic { return c.traffic }
 
 // Call implements Caller. The context must carry a deadline. An overdue call
-// closes the connection when nothing was received on it during the call, so
-// that other calls on it end with ErrUnconfirmed; a connection that still
-// delivers other answers is kept. A call on a connection that the peer closed
+// closes the connection when nothing was received on it during the call and
+// for at least the time silence, so that other calls on it end with
+// ErrUnconfirmed; a connection that still delivers other answers is kept. A call on a connection that the peer closed
 // while idle is sent once more on a new one, since none of it left.
 func (c *Client) Call(ctx context.Context, class Class, address, method string, args, reply any) error {
 	key := connKey{address, class}
@@ -108,7 +112,7 @@
 }
 
 func (c *Client) callOn(ctx context.Context, cl *clientConn, key connKey, method string, args, reply any) error {
-	before := cl.conn.received.Load()
+	before, start := cl.conn.received.Load(), time.Now()
 	call := cl.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -117,7 +121,7 @@
 		}
 		return call.Error
 	case <-ctx.Done():
-		if ctx.Err() == context.DeadlineExceeded && cl.conn.received.Load() == before {
+		if ctx.Err() == context.DeadlineExceeded && cl.conn.silent(before, start) {
 			c.drop(key, cl)
 		}
 		return ctx.Err()
@@ -201,6 +205,27 @@
 	class    Class
 	bytes    *Bytes
 	received atomic.Int64
+	overdue  atomic.Pointer[overdue]
+}
+
+// overdue is the first overdue call since the last byte was received.
+type overdue struct {
+	received int64
+	start    time.Time
+}
+
+// silent reports whether an overdue call, sent at start with before bytes
+// received, shows that the peer does not answer. Short calls count together.
+func (c *countedConn) silent(before int64, start time.Time) bool {
+	if c.received.Load() != before {
+		return false
+	}
+	first := c.overdue.Load()
+	if first == nil || first.received != before {
+		first = &overdue{before, start}
+		c.overdue.Store(first)
+	}
+	return time.Since(first.start) >= silence
 }
 
 // Read implements net.Conn.
--- a/internal/peer/shutdown_test.go
+++ b/internal/peer/shutdown_test.go
@@ -60,3 +60,49 @@
 		c.Close()
 	})
 }
+
+// TestShortCallKeepsConnection guards against a call with a short deadline that
+// closes the connection and ends the calls of others on it with "unconfirmed".
+// A caller's deadline of 1 ms is shorter than the way there and back.
+func TestShortCallKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	e := &echo{hold: make(chan struct{})}
+	s := serve(t, ServerConfig{}, e)
+	address := s.listener.Addr().String()
+	c := NewClient(nil)
+	defer c.Close()
+	is.NoErr(c.Open(context.Background(), Control, address))
+	other := make(chan error, 1)
+	go func() {
+		_, err := call(c, address, 7, 10*time.Second)
+		other <- err
+	}()
+	for e.running.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := call(c, address, 8, time.Millisecond)
+	is.True(errors.Is(err, ErrUnconfirmed))
+	close(e.hold)
+	is.NoErr(<-other)
+}
+
+// TestShortCallsFindDeadPeer guards against a dead connection that stays in use
+// because every call on it is short.
+func TestShortCallsFindDeadPeer(t *testing.T) {
+	is := is.New(t)
+	e := &echo{hold: make(chan struct{})}
+	defer close(e.hold)
+	s := serve(t, ServerConfig{}, e)
+	address := s.listener.Addr().String()
+	c := NewClient(nil)
+	defer c.Close()
+	is.NoErr(c.Open(context.Background(), Control, address))
+	for range 100 {
+		_, _ = call(c, address, 7, silence/20)
+		time.Sleep(silence / 20)
+		if len(*c.conns.Load()) == 0 {
+			return
+		}
+	}
+	t.Fatal("the connection is still in use")
+}
