Wait for a holder's answer for at least 15 ms

Cause: the call to the lease holder ended with the caller's deadline, and every overdue call leaves the holder out for 200 ms. One caller with a deadline below a round trip made this host refuse all requests of the holder's pools, or serve them from the reduced limit.

Change: the call lasts at least 15 ms. The holder still refuses what cannot finish in time, and dispatch checks the deadline before the first byte.

Before: TestShortDeadlineKeepsHolder no_lease. After: go test -race ./internal/controller/pools passes.

--- a/internal/controller/pools/host_test.go
+++ b/internal/controller/pools/host_test.go
@@ -51,6 +51,7 @@
 	lose    atomic.Bool // Pool.Done does not arrive
 	refuse  atomic.Bool // nothing is sent
 	batches atomic.Int64
+	delay   time.Duration // of each answer
 }
 
 func (l *link) Call(ctx context.Context, _ peer.Class, address, method string, args, reply any) error {
@@ -69,6 +70,13 @@
 		l.batches.Add(1)
 		err = r.Done(args.(*wire.DoneRequest), reply.(*wire.DoneReply))
 	}
+	if l.delay > 0 {
+		select {
+		case <-time.After(l.delay):
+		case <-ctx.Done():
+			return peer.ErrUnconfirmed
+		}
+	}
 	if l.drop.Load() && method == "Pool.Acquire" {
 		<-ctx.Done()
 		return peer.ErrUnconfirmed
--- a/internal/controller/pools/remote.go
+++ b/internal/controller/pools/remote.go
@@ -26,6 +26,9 @@
 	// remoteWait bounds the time in a queue for another entry host, which gives
 	// up after filter.GrantStart. The rest is for the way there and back.
 	remoteWait = filter.GrantStart / 2
+	// askAtLeast is how long an answer is waited for, also when the caller's
+	// deadline is sooner: five round trips between data centres of a region.
+	askAtLeast = 15 * time.Millisecond
 )
 
 // sender reports ended grants to one other holder. Its run goroutine sends
@@ -75,7 +78,8 @@
 	if c.caller == nil || s == nil || member == nil || int64(now) < s.unreachable.Load() {
 		return nil, nil, false
 	}
-	timeout := min(ask.Remaining, filter.GrantStart)
+	// A deadline below a round trip says nothing about the holder.
+	timeout := min(max(ask.Remaining, askAtLeast), filter.GrantStart)
 	// A caller that goes away does not end the call: the reply may hold a grant
 	// that must be given back.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
--- a/internal/controller/pools/remote_test.go
+++ b/internal/controller/pools/remote_test.go
@@ -111,3 +111,34 @@
 		})
 	}
 }
+
+// TestShortDeadlineKeepsHolder guards against a caller with a deadline below a
+// round trip that makes this host leave out the holder for everybody.
+func TestShortDeadlineKeepsHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &link{hosts: map[string]*host{}}
+		holder, asker := newHost(t, "eh1", l, nil), newHost(t, "eh2", l, nil)
+		defer holder.stop()
+		defer asker.stop()
+		m := parse(t, 1, 1, false, "")
+		holder.accept(m)
+		holder.warm(1, 0, 0)
+		holder.hold()
+		asker.accept(m)
+		asker.know("eh1")
+		synctest.Wait()
+		l.delay = 3 * time.Millisecond // a round trip between data centres
+		short := ask
+		short.Remaining = time.Millisecond
+		asker.acquire(short)
+		g, reason := asker.acquire(ask)
+		is.Equal(reason, verdict.ReasonNone)
+		is.Equal(g.Holder, "eh1")
+		l.delay = time.Second // the holder does not answer
+		start := time.Now()
+		_, reason = asker.acquire(short)
+		is.Equal(reason, verdict.ReasonGrantLost)
+		is.True(time.Since(start) <= askAtLeast)
+	})
+}
