Recover from a panic while a forwarded order runs

Cause: net/rpc calls handlers in its own goroutines and does not recover, so a panic in a filter before the order's own goroutine ended the whole process with every request in flight. The front end recovers from the same panic.

Change: Order.Submit answers "may have run" with reason internal; the panic is logged and counted like those of order runs.

--- a/internal/controller/orders/orders.go
+++ b/internal/controller/orders/orders.go
@@ -143,12 +143,14 @@
 
 // Start implements filters.Orders. A panic of f is logged and counted.
 func (c *Controller) Start(f func()) {
-	c.runs.Go(func() {
-		if p := panics.Try(f); p != nil {
-			c.panicks.Add(1)
-			c.cfg.Log.Error("Order handler panicked.", zap.Error(p.AsError()))
-		}
-	})
+	c.runs.Go(func() { c.guard(f) })
+}
+
+func (c *Controller) guard(f func()) {
+	if p := panics.Try(f); p != nil {
+		c.panicks.Add(1)
+		c.cfg.Log.Error("Order handler panicked.", zap.Error(p.AsError()))
+	}
 }
 
 // Header implements filters.Orders.
--- a/internal/controller/orders/service.go
+++ b/internal/controller/orders/service.go
@@ -45,7 +45,7 @@
 		Name: filter.HeaderDeadline, Value: strconv.FormatInt(max(left.Milliseconds(), 0), 10),
 	})
 	// The sender may go away; net/rpc does not tell. The chain ends at the deadline.
-	out := (*chain).Handle(context.Background(), x)
+	out := c.run(*chain, x)
 	reply.Verdict, reply.ReasonName, reply.FreshKey = uint8(out.Verdict), out.Reason.String(), out.FreshKey
 	reply.Status, reply.Headers, reply.Body = encode(out.Response)
 	if len(reply.Body) > filters.MaxForward {
@@ -59,6 +59,13 @@
 	return nil
 }
 
+// run runs the chain. A panic, which would end the process, is logged and counted.
+func (c *Controller) run(chain filter.Handler, x *filter.Exchange) filter.Outcome {
+	out := filter.Unknown(verdict.ReasonInternal, nil)
+	c.guard(func() { out = chain.Handle(context.Background(), x) })
+	return out
+}
+
 // Copy stores copies of finished orders.
 func (s *Service) Copy(req *wire.CopyRequest, reply *wire.CopyReply) error {
 	s.c.store(req.Copies)
