Close the connection of a caller that does not read its answer

Cause: writes to callers had no time bound. A caller that stopped reading kept its connection, up to 8 MiB of answer and one goroutine until TCP gave up, and held up a graceful stop until the stop bound.

Change: a caller has read_timeout for each 64 KiB of its answer. A slow caller that goes on reading still gets all of it.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -46,7 +46,7 @@
 func New(o Options, l net.Listener) *Front {
 	s := o.Settings
 	f := &Front{Options: o}
-	f.listener = newListener(l, int64(s.MaxConnections), o.Counters.Int("front.connections_refused"))
+	f.listener = newListener(l, int64(s.MaxConnections), time.Duration(s.ReadTimeout), o.Counters.Int("front.connections_refused"))
 	f.app = fiber.New(fiber.Config{
 		BodyLimit: s.MaxBodyBytes, ReadBufferSize: s.MaxHeaderBytes,
 		// The listener bounds connections, with an answer that carries a
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -20,6 +20,10 @@
 	refusing = 64
 	// refuseTime bounds how long a refused caller may take to read its answer.
 	refuseTime = 250 * time.Millisecond
+	// writePart is the number of bytes for which a caller has one write time, so
+	// that a slow caller gets a large answer and one that stalls is closed. At
+	// the default of 10 s it is 6.4 KiB a second.
+	writePart = 64 << 10
 )
 
 // listener bounds the callers' connections and keeps a list of them, so that a
@@ -27,18 +31,19 @@
 // connection, never per request.
 type listener struct {
 	net.Listener
-	limit   int64
-	open    atomic.Int64
-	refused *expvar.Int
-	slots   chan struct{}
+	writeTime time.Duration // a caller must read writePart bytes within it
+	limit     int64
+	open      atomic.Int64
+	refused   *expvar.Int
+	slots     chan struct{}
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
-func newListener(l net.Listener, limit int64, refused *expvar.Int) *listener {
+func newListener(l net.Listener, limit int64, writeTime time.Duration, refused *expvar.Int) *listener {
 	return &listener{
-		Listener: l, limit: limit, refused: refused,
+		Listener: l, writeTime: writeTime, limit: limit, refused: refused,
 		slots: make(chan struct{}, refusing), conns: map[*callerConn]struct{}{},
 	}
 }
@@ -110,6 +115,21 @@
 	watcher  watch
 }
 
+// Write implements net.Conn. Without a bound a caller that does not read would
+// keep its connection, its answer in memory and a graceful stop.
+func (c *callerConn) Write(p []byte) (n int, err error) {
+	for {
+		part := p[n:min(n+writePart, len(p))]
+		if err := c.SetWriteDeadline(time.Now().Add(c.listener.writeTime)); err != nil {
+			return n, err
+		}
+		m, err := c.Conn.Write(part)
+		if n += m; err != nil || n == len(p) {
+			return n, err
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	if !c.closed.Swap(true) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,7 +29,7 @@
 	MaxBodyBytes   int               `toml:"max_body_bytes"`   // default 1048576
 	MaxConnections int               `toml:"max_connections"`  // callers' connections; default 4096
 	IdleTimeout    manifest.Duration `toml:"idle_timeout"`     // of a caller's connection; default 60s
-	ReadTimeout    manifest.Duration `toml:"read_timeout"`     // for a whole request; default 10s
+	ReadTimeout    manifest.Duration `toml:"read_timeout"`     // for a whole request, and for a caller to read 64 KiB of its answer; default 10s
 	Notice         manifest.Duration `toml:"notice"`           // time for the balancer to see readiness false; default 3s
 	StopBound      manifest.Duration `toml:"stop_bound"`       // longest graceful stop after the notice; default 30s
 }
