Drop the parts of a hand-over whose sender was ended

Cause: the received parts of a hand-over stayed in memory until it was completed or begun again. A sender that is ended in the middle does neither: four of them keep up to 256 MiB, twice the control memory of a node.

Change: parts are dropped after twice the sender's bound. A part that comes later is refused, as it was for transfers never begun.

Before: TestAbandonedTransfer, 1 transfer held. After: 0; go test ./internal/controller/orders passes.

--- a/internal/controller/orders/handover.go
+++ b/internal/controller/orders/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -199,6 +200,7 @@
 type partial struct {
 	next    int
 	payload []byte
+	life    *time.Timer // ends a transfer whose sender was ended in the middle
 }
 
 // maxIncoming bounds the transfers that are received at the same time.
@@ -212,9 +214,17 @@
 	p := in.parts[owner]
 	if part == 0 {
 		if p == nil && len(in.parts) >= maxIncoming {
-			clear(in.parts) // transfers that their senders gave up
+			for other, given := range in.parts { // their senders gave them up
+				in.forget(other, given)
+			}
 		}
+		in.forget(owner, p)
 		p = &partial{}
+		p.life = time.AfterFunc(2*transferLimit, func() {
+			in.mu.Lock()
+			defer in.mu.Unlock()
+			in.forget(owner, p)
+		})
 		in.parts[owner] = p
 	}
 	if p == nil || part != p.next || int64(len(p.payload)+len(data)) > limit {
@@ -225,10 +235,19 @@
 	if p.next < parts {
 		return nil, true
 	}
-	delete(in.parts, owner)
+	in.forget(owner, p)
 	return p.payload, true
 }
 
+// forget drops a transfer unless another one of the same owner has begun.
+// Callers hold mu.
+func (in *incoming) forget(owner uint64, p *partial) {
+	if p != nil && in.parts[owner] == p {
+		p.life.Stop()
+		delete(in.parts, owner)
+	}
+}
+
 // maxPayload bounds a whole hand-over in bytes: the kept answers, and for each
 // record and key what is around them.
 func (c *Controller) maxPayload() int64 {
