Let an empty order key not hide another one

Cause: a refusal before the chain looks at the first order key header only. A request with an empty one before a real one was answered "not run", although the order of the real key may have run.

Change: refusals take the first order key that is not empty.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -120,6 +120,8 @@
 		{"backslash", "GET /status/..\\orders HTTP/1.1\r\nHost: h\r\n\r\n", 400, "not-run", "bad_request"},
 		{"control byte", "GET /a?x=\x01 HTTP/1.1\r\nHost: h\r\n\r\n", 400, "may-have-run", "bad_request"},
 		{"two keys", post + key + "Anvilfront-Order-Key: l\r\n\r\n", 400, "may-have-run", "bad_request"},
+		{"empty key before a key", post + "Anvilfront-Order-Key:\r\n" + key + "\r\n", 400, "may-have-run", "bad_request"},
+		{"empty key before a key, large body", post + "Anvilfront-Order-Key:\r\n" + key + "Content-Length: 101\r\n\r\n", 413, "may-have-run", "too_large"},
 		{"unknown method", "BREW /o HTTP/1.1\r\nHost: h\r\n\r\n", 501, "not-run", "bad_request"},
 		{"large body", post + "Content-Length: 101\r\n\r\n", 413, "not-run", "too_large"},
 		{"large body with key", post + key + "Content-Length: 101\r\n\r\n", 413, "may-have-run", "too_large"},
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -75,6 +75,17 @@
 	return "", false
 }
 
+// orderKey returns a copy of the first order key that is not empty, or "". An
+// empty one must not hide another, whose order may have run.
+func orderKey(h *fasthttp.RequestHeader) string {
+	for _, key := range h.PeekAll(filter.HeaderOrderKey) {
+		if len(key) > 0 {
+			return string(key)
+		}
+	}
+	return ""
+}
+
 // copyRequest copies a request, so that it outlives the handler. The request
 // is set also when an error is returned.
 func copyRequest(raw *fasthttp.Request) (*filter.Request, error) {
