Tell a used-up share of connections from a server that refuses them

Cause: an entry host may open connections/entry-hosts connections to a server, 3 of 250 with 64 entry hosts, while the holder may grant it more slots. The attempt without a connection ended as connect_failed. The holder counted that as a failure, lowered the limit of a sound server and, after five in a row, marked it as failing; this host took it for cold.

Change: a fact and the reason "connections" (503), retried like connect_failed, and no failure of the server.

Before: reason connect_failed, Report.Failed true. After: go test -race ./internal/backend ./internal/filters ./internal/verdict passes.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -86,7 +86,7 @@
 	if c == nil {
 		var err error
 		if c, err = t.open(ctx, h, deadline); err != nil {
-			f := verdict.Facts{Cancelled: ctx.Err() == context.Canceled}
+			f := verdict.Facts{Cancelled: ctx.Err() == context.Canceled, NoShare: errors.Is(err, ErrConnections)}
 			f.TimedOut = !f.Cancelled && !time.Now().Before(deadline)
 			return filter.Result{Facts: f, Err: err}
 		}
--- a/internal/filters/dispatch_test.go
+++ b/internal/filters/dispatch_test.go
@@ -137,3 +137,19 @@
 	is.Equal(len(p.reports), 1)
 	is.Equal(p.reports[0].Verdict, verdict.MayHaveRun)
 }
+
+// TestShareInUse guards against a sound backend server that counts as failing
+// because this process's share of its connections is in use.
+func TestShareInUse(t *testing.T) {
+	is := is.New(t)
+	p := &ports{facts: verdict.Facts{NoShare: true}}
+	d := &Dispatch{Clock: &clock.Manual{}, Admitter: p, Transport: p, Store: state.NewStore(state.Member{}), Fresh: func() bool { return true }}
+	x := exchange(true)
+	x.Grant = &filter.Grant{StartBy: 1, Server: &manifest.BackendServer{}}
+	out := d.Handle(context.Background(), x, nil)
+	is.Equal(out.Verdict, verdict.NotRun)
+	is.Equal(p.reports[0].Reason, verdict.ReasonConnections)
+	is.True(!p.reports[0].Failed)
+	_, again := decideRetry(retryInput{Verdict: out.Verdict, Reason: out.Reason, Nested: true, Allowed: 1, Left: time.Second}, random)
+	is.True(again) // another server may have connections left
+}
--- a/internal/verdict/decide.go
+++ b/internal/verdict/decide.go
@@ -19,6 +19,7 @@
 // Facts are the typed observations of one attempt on a backend server.
 type Facts struct {
 	Connected bool // a connection was available
+	NoShare   bool // none was opened: this process's share of connections is in use
 	// FirstByte is true once the first byte of the request may have left.
 	FirstByte bool
 	Written   bool // the whole request was written
@@ -62,6 +63,8 @@
 		return ReasonDeadline
 	case f.Cancelled:
 		return ReasonCallerGone
+	case f.NoShare:
+		return ReasonConnections
 	case !f.Connected:
 		return ReasonConnectFailed
 	default:
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -13,6 +13,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		f := Facts{
 			Connected: rapid.Bool().Draw(rt, "connected"),
+			NoShare:   rapid.Bool().Draw(rt, "noShare"),
 			FirstByte: rapid.Bool().Draw(rt, "firstByte"),
 			Written:   rapid.Bool().Draw(rt, "written"),
 			TimedOut:  rapid.Bool().Draw(rt, "timedOut"),
