Bound dials by the time in which a grant may be started

Cause: a dial was given 500 ms. A server that vanished without a reset was reported as "deadline" by every request with a shorter deadline, which the holder does not count as a failure, so it was never ejected.

Change: the default bound is filter.GrantStart. It ends as connect_failed, counts as a failure and leaves time for another server.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -19,7 +19,7 @@
 // Options are the limits of a Transport. Zero values select the defaults.
 type Options struct {
 	MaxBody     int           // bytes of an answer's body; default 8 MiB
-	DialTimeout time.Duration // bound on opening a connection; default 500ms
+	DialTimeout time.Duration // bound on opening a connection; default filter.GrantStart
 	IdleLimit   time.Duration // an idle connection is closed after this; default 30s
 	Connections int           // connections to a server that SetServers did not name; default 250
 }
@@ -33,7 +33,9 @@
 		o.MaxBody = 8 << 20
 	}
 	if o.DialTimeout == 0 {
-		o.DialTimeout = 500 * time.Millisecond
+		// A grant cannot be used after a longer dial, and a server that vanished
+		// must count as failing also where deadlines are short.
+		o.DialTimeout = filter.GrantStart
 	}
 	if o.IdleLimit == 0 {
 		o.IdleLimit = 30 * time.Second
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -329,3 +330,23 @@
 	is.Equal(v, verdict.Ran)
 	is.True(strings.Contains(*s.seen.Load(), "Host: "+a.Address))
 }
+
+// TestSilentConnect guards against a server that vanished without closing its
+// port and never counts as failing, because every deadline ends before the dial
+// does. A dial that takes longer than a grant may be started is of no use.
+func TestSilentConnect(t *testing.T) {
+	is := is.New(t)
+	tr := New(Options{})
+	tr.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	a := attempt("127.0.0.1:1", "POST")
+	a.Limit = 300 * time.Millisecond
+	v, reason := verdict.Decide(tr.Do(context.Background(), a).Facts)
+	is.Equal(v, verdict.NotRun)
+	is.Equal(reason, verdict.ReasonConnectFailed)
+	a.Limit = 10 * time.Millisecond // says nothing about the server
+	_, reason = verdict.Decide(tr.Do(context.Background(), a).Facts)
+	is.Equal(reason, verdict.ReasonDeadline)
+}
