Start a pool over when its holder panics

Cause: conc keeps a panic until the controller ends. A fault in the goroutine of a held pool left the pool without one, while the leases controller went on renewing its lease: every request was refused until the host was restarted.

Change: the panic is logged and counted, what waits is refused, and a new holder with cold servers takes the place of the broken one.

Before: TestHolderPanic, no grant after the panic. After: go test -race ./internal/controller/pools passes.

--- a/internal/controller/pools/counts.go
+++ b/internal/controller/pools/counts.go
@@ -14,6 +14,7 @@
 	probes, probeBytes, probeFailures             *expvar.Int
 	stale, contradicted, ignored                  *expvar.Int
 	ejections, coldStarts, sheds, failures, crash *expvar.Int
+	panics                                        *expvar.Int
 }
 
 func newCounts(root *metrics.Counters) counts {
@@ -31,7 +32,7 @@
 		probes: i("probes"), probeBytes: i("probe_bytes"), probeFailures: i("probe_failures"),
 		stale: i("reports_stale"), contradicted: i("reports_contradicted"), ignored: i("reports_ignored"),
 		ejections: i("ejections"), coldStarts: i("cold_starts"), sheds: i("sheds"),
-		failures: i("failures"), crash: i("crashes"),
+		failures: i("failures"), crash: i("crashes"), panics: i("panics"),
 	}
 }
 
--- a/internal/controller/pools/holder.go
+++ b/internal/controller/pools/holder.go
@@ -40,6 +40,7 @@
 	view    atomic.Pointer[published]
 	waiting atomic.Int64 // requests in offers or in queue; the fast path is closed while above 0
 	sealed  atomic.Bool
+	broken  atomic.Bool // run panicked; another holder replaces this one
 	offers  chan *waiter
 	reports chan report
 	changed chan struct{} // snapshot changed
--- a/internal/controller/pools/pools.go
+++ b/internal/controller/pools/pools.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
 
 	"github.com/anvilfront/anvilfront/internal/balance"
@@ -56,6 +57,7 @@
 	manifest *manifest.Manifest // last one applied; Run only
 	listed   []string           // last list applied; Run only
 	ready    chan struct{}      // closed after the first sync
+	restart  chan struct{}      // a holder broke
 	wg       conc.WaitGroup
 }
 
@@ -74,7 +76,7 @@
 	c := &Controller{
 		clock: cfg.Clock, store: cfg.Store, caller: cfg.Caller, gossip: cfg.Gossip,
 		transport: cfg.Transport, log: cfg.Log.Named("pools"), ordering: cfg.Ordering,
-		count: newCounts(cfg.Counters), ready: make(chan struct{}),
+		count: newCounts(cfg.Counters), ready: make(chan struct{}), restart: make(chan struct{}, 1),
 	}
 	c.backends.Store(&registry{byKey: map[string]*backend{}})
 	c.holders.Store(&map[manifest.PoolID]*holder{})
@@ -107,6 +109,7 @@
 		}
 		select {
 		case <-changed:
+		case <-c.restart:
 		case <-ctx.Done():
 			return
 		}
@@ -166,11 +169,11 @@
 	next := make(map[manifest.PoolID]*holder, len(snap.Leases.Held))
 	for id, held := range snap.Leases.Held {
 		h := old[id]
-		if h == nil || h.lease != held {
+		if h == nil || h.lease != held || h.broken.Load() {
 			h = newHolder(c, id, held)
 			runCtx, cancel := context.WithCancel(ctx)
 			h.cancel = cancel
-			c.wg.Go(func() { h.run(runCtx) })
+			c.wg.Go(func() { c.runHolder(runCtx, h) })
 		}
 		next[id] = h
 	}
@@ -186,6 +189,20 @@
 	}
 }
 
+// runHolder runs h. A panic would leave the pool without a goroutine while its
+// lease is renewed, so the pool is started over with cold servers.
+func (c *Controller) runHolder(ctx context.Context, h *holder) {
+	p := panics.Try(func() { h.run(ctx) })
+	if p == nil {
+		return
+	}
+	c.count.panics.Add(1)
+	c.log.Error("The holder of a pool panicked.", zap.Any("pool", h.id), zap.Error(p.AsError()))
+	h.stop()
+	h.broken.Store(true)
+	signal(c.restart)
+}
+
 // Acquire implements filter.Admitter.
 func (c *Controller) Acquire(ctx context.Context, pool *manifest.Pool, ask filter.Ask) (*filter.Grant, error) {
 	snap, now := c.store.Load(), c.clock.Now()
--- a/internal/controller/pools/remote_test.go
+++ b/internal/controller/pools/remote_test.go
@@ -1,12 +1,14 @@
 package pools
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/anvilfront/anvilfront/internal/balance"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 	"github.com/anvilfront/anvilfront/internal/wire"
@@ -142,3 +144,36 @@
 		is.True(time.Since(start) <= askAtLeast)
 	})
 }
+
+// brittle panics once.
+type brittle struct{ done atomic.Bool }
+
+func (b *brittle) Score(*balance.Item) float64 {
+	if !b.done.Swap(true) {
+		panic("fault in an ordering")
+	}
+	return 0
+}
+
+// TestHolderPanic guards against a pool that refuses everything for as long as
+// its lease is renewed, because a fault ended its goroutine.
+func TestHolderPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost(t, "eh1", nil, nil)
+		defer h.stop()
+		h.ordering = &brittle{}
+		h.accept(parse(t, 1, 1, false, ""))
+		h.warm(1, 0, 0)
+		h.hold()
+		synctest.Wait()
+		grants := h.fill() // the last one waits, and meets the fault
+		is.Equal(len(grants), 4)
+		for _, g := range grants {
+			h.Release(g, ran)
+		}
+		synctest.Wait()
+		is.Equal(h.count.panics.Value(), int64(1))
+		is.Equal(len(h.fill()), 1) // started over: cold
+	})
+}
