--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -19,7 +19,7 @@
 // Options are the limits of a Transport. Zero values select the defaults.
 type Options struct {
 	MaxBody     int           // bytes of an answer's body; default 8 MiB
-	DialTimeout time.Duration // bound on opening a connection; default 500ms
+	DialTimeout time.Duration // bound on opening a connection; default filter.GrantStart
 	IdleLimit   time.Duration // an idle connection is closed after this; default 2m
 	Connections int           // connections to a server that SetServers did not name; default 250
 }
@@ -33,7 +33,9 @@
 		o.MaxBody = 8 << 20
 	}
 	if o.DialTimeout == 0 {
-		o.DialTimeout = 500 * time.Millisecond
+		// A grant cannot be used after a longer dial, and a server that vanished
+		// must count as failing also where deadlines are short.
+		o.DialTimeout = filter.GrantStart
 	}
 	if o.IdleLimit == 0 {
 		// Two connections to each of 550 servers are then opened anew 9 times a second.
@@ -89,7 +91,7 @@
 	}
 	if c == nil {
 		if c, err = t.open(ctx, h, deadline); err != nil {
-			f := verdict.Facts{Cancelled: ctx.Err() == context.Canceled}
+			f := verdict.Facts{Cancelled: ctx.Err() == context.Canceled, NoShare: errors.Is(err, ErrConnections)}
 			f.TimedOut = !f.Cancelled && !time.Now().Before(deadline)
 			return filter.Result{Facts: f, Err: err}
 		}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -182,7 +183,7 @@
 	h.open.Add(1) // the whole share is in use
 	v, reason = verdict.Decide(tr.Do(context.Background(), attempt(s.Addr().String(), "POST")).Facts)
 	is.Equal(v, verdict.NotRun)
-	is.Equal(reason, verdict.ReasonConnectFailed)
+	is.Equal(reason, verdict.ReasonConnections) // not a failure of the backend server
 }
 
 // TestTimeoutAndCancellation guards against a late answer that reaches the next
@@ -322,3 +323,38 @@
 		}
 	}
 }
+
+// TestNoHost guards against a request of an HTTP/1.0 caller without a Host
+// header that cannot be written and is counted as a failure of the backend server.
+func TestNoHost(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false))
+	tr := New(Options{})
+	a := attempt(s.Addr().String(), "GET")
+	a.Request.Host = ""
+	res := tr.Do(context.Background(), a)
+	is.NoErr(res.Err)
+	v, _ := verdict.Decide(res.Facts)
+	is.Equal(v, verdict.Ran)
+	is.True(strings.Contains(*s.seen.Load(), "Host: "+a.Address))
+}
+
+// TestSilentConnect guards against a server that vanished without closing its
+// port and never counts as failing, because every deadline ends before the dial
+// does. A dial that takes longer than a grant may be started is of no use.
+func TestSilentConnect(t *testing.T) {
+	is := is.New(t)
+	tr := New(Options{})
+	tr.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	a := attempt("127.0.0.1:1", "POST")
+	a.Limit = 300 * time.Millisecond
+	v, reason := verdict.Decide(tr.Do(context.Background(), a).Facts)
+	is.Equal(v, verdict.NotRun)
+	is.Equal(reason, verdict.ReasonConnectFailed)
+	a.Limit = 10 * time.Millisecond // says nothing about the server
+	_, reason = verdict.Decide(tr.Do(context.Background(), a).Facts)
+	is.Equal(reason, verdict.ReasonDeadline)
+}
