--- a/internal/controller/pools/host_test.go
+++ b/internal/controller/pools/host_test.go
@@ -77,13 +77,26 @@
 }
 
 func newHost(t testing.TB, name string, l *link, transport filter.Transport) *host {
-	store := state.NewStore(state.Member{Name: name, Address: name, DataCentre: "sgn1", Alive: true})
-	h := &host{t: t, store: store}
-	cfg := Config{Clock: clock.NewMonotonic(), Store: store, Transport: transport}
+	cfg := Config{Transport: transport}
 	if l != nil {
 		cfg.Caller = l
+	}
+	h := startHost(t, name, cfg)
+	if l != nil {
 		l.hosts[name] = h
 	}
+	return h
+}
+
+// newHostCaller returns a host that reaches others through caller.
+func newHostCaller(t testing.TB, name string, caller peer.Caller) *host {
+	return startHost(t, name, Config{Caller: caller})
+}
+
+func startHost(t testing.TB, name string, cfg Config) *host {
+	store := state.NewStore(state.Member{Name: name, Address: name, DataCentre: "sgn1", Alive: true})
+	h := &host{t: t, store: store}
+	cfg.Clock, cfg.Store = clock.NewMonotonic(), store
 	h.Controller = New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/internal/entryhost/bench_test.go
+++ b/internal/entryhost/bench_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/anvilfront/anvilfront/internal/fake"
 	"github.com/anvilfront/anvilfront/internal/localfleet"
 )
 
@@ -32,3 +35,38 @@
 		}
 	})
 }
+
+// BenchmarkIdleCaller measures the live memory of an idle connection of a
+// caller after one request, with the caller's plain end in the same process.
+func BenchmarkIdleCaller(b *testing.B) {
+	for _, n := range []int{100, 400, 1600} {
+		b.Run(fmt.Sprintf("connections=%d", n), func(b *testing.B) {
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			f, err := localfleet.Start(ctx, localfleet.Config{CentreCount: 1, HostCount: 1, ServerCount: 4, Slots: 64, ServiceTime: time.Microsecond})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer f.Close()
+			open := func() {
+				c, err := net.Dial("tcp", f.Host(0).Address())
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.Cleanup(func() { _ = c.Close() })
+				_, _ = c.Write([]byte("GET /lot/1 HTTP/1.1\r\nHost: desk\r\n\r\n"))
+				if _, err := c.Read(make([]byte, 1024)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for range b.N {
+				open() // what is allocated once per process
+				before := fake.LiveBytes()
+				for range n {
+					open()
+				}
+				b.ReportMetric(float64(fake.LiveBytes()-before)/float64(n), "B/connection")
+			}
+		})
+	}
+}
