Tell a used-up share of connections from a failed server

With more than 62 entry hosts a host's share of a server's 250 connections is below its 4 slots. A grant that found no connection ended as connect_failed; the holder took that for a failure of the server and lowered its limit.

The reason is now no_connection: not run, an unused grant for the holder, and the call may be tried again. TestDispatchShare fails with connect_failed when the new case is taken out.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
@@ -45,7 +43,7 @@
 }
 
 // ErrConnections means that this process's share of connections is in use.
-var ErrConnections = errors.New("backend: every connection of this entry host's share is in use")
+var ErrConnections = filter.ErrConnections
 
 // Transport implements filter.Transport. Do is safe for concurrent use and
 // takes no lock.
--- a/internal/filter/ports.go
+++ b/internal/filter/ports.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/verdict"
@@ -73,6 +75,10 @@
 	Err         error         // detail for logs; may be nil
 }
 
+// ErrConnections is in Result.Err when this process's share of connections to
+// the backend server is in use. The server itself was not asked.
+var ErrConnections = errors.New("every connection of this entry host's share is in use")
+
 // Transport sends requests to backend servers.
 type Transport interface {
 	Do(ctx context.Context, a *Attempt) Result
--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/state"
@@ -51,8 +53,12 @@
 		},
 	})
 	v, reason := verdict.Decide(res.Facts)
-	if refusal != verdict.ReasonNone {
+	switch {
+	case refusal != verdict.ReasonNone:
 		reason = refusal
+	case reason == verdict.ReasonConnectFailed && errors.Is(res.Err, filter.ErrConnections):
+		// Not a failure of the server: as one, it would lower the server's limit.
+		reason = verdict.ReasonNoConnection
 	}
 	d.Admitter.Release(g, report(v, reason, &res))
 	out := filter.Outcome{Verdict: v, Reason: reason, Cause: res.Err, Crashed: crashed(v, reason, &res)}
--- a/internal/filters/dispatch_test.go
+++ b/internal/filters/dispatch_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -20,6 +21,7 @@
 	ctx      context.Context
 	reports  []filter.Report
 	response *filter.Response
+	err      error
 }
 
 func (p *ports) Acquire(context.Context, *manifest.Pool, filter.Ask) (*filter.Grant, error) {
@@ -33,7 +35,7 @@
 	if err := a.BeforeFirstByte(); err != nil {
 		return filter.Result{Facts: verdict.Facts{Connected: true}, Err: err}
 	}
-	return filter.Result{Facts: p.facts, Response: p.response, ServiceTime: time.Millisecond}
+	return filter.Result{Facts: p.facts, Response: p.response, ServiceTime: time.Millisecond, Err: p.err}
 }
 
 // TestDispatchChecks guards against a first byte that leaves after the grant,
@@ -115,3 +117,27 @@
 		is.True(p.reports[0].Failed)
 	}
 }
+
+// TestDispatchShare guards against a server whose limit is lowered because this
+// entry host used up its own share of connections.
+func TestDispatchShare(t *testing.T) {
+	for _, c := range []struct {
+		err    error
+		reason verdict.Reason
+		failed bool
+	}{
+		{errors.Wrap(filter.ErrConnections, "b1"), verdict.ReasonNoConnection, false},
+		{errors.New("connection refused"), verdict.ReasonConnectFailed, true},
+	} {
+		is := is.New(t)
+		p := &ports{err: c.err}
+		d := &Dispatch{Clock: &clock.Manual{}, Admitter: p, Transport: p, Store: state.NewStore(state.Member{}), Fresh: func() bool { return true }}
+		x := exchange(true)
+		x.Grant = &filter.Grant{StartBy: 1, Server: &manifest.BackendServer{}}
+		out := d.Handle(context.Background(), x, nil)
+		is.Equal(out.Verdict, verdict.NotRun)
+		is.Equal(out.Reason, c.reason)
+		is.Equal(p.reports[0].Reason, c.reason)
+		is.Equal(p.reports[0].Failed, c.failed)
+	}
+}
--- a/internal/filters/retrypolicy.go
+++ b/internal/filters/retrypolicy.go
@@ -30,6 +30,7 @@
 	verdict.ReasonGrantExpired:  true,
 	verdict.ReasonGrantLost:     true,
 	verdict.ReasonConnectFailed: true,
+	verdict.ReasonNoConnection:  true,
 	verdict.ReasonShed:          true,
 	verdict.ReasonWriteFailed:   true,
 	verdict.ReasonAnswerCut:     true,
@@ -41,6 +42,7 @@
 	verdict.ReasonGrantExpired:  true,
 	verdict.ReasonGrantLost:     true,
 	verdict.ReasonConnectFailed: true,
+	verdict.ReasonNoConnection:  true,
 }
 
 // decideRetry returns whether to try again and how long to wait before. A
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -45,6 +45,7 @@
 	ReasonLedgerFull
 	ReasonNotKept
 	ReasonHedge
+	ReasonNoConnection
 	NumReasons // number of reasons; not a reason
 )
 
@@ -94,6 +95,7 @@
 	ReasonLedgerFull:       {"ledger_full", 503, "no room for another order record"},
 	ReasonNotKept:          {"not_kept", 502, "the order ran but its answer was too large to keep"},
 	ReasonHedge:            {"hedge", 200, "a second copy of an idempotent request was sent"},
+	ReasonNoConnection:     {"no_connection", 503, "every connection of this entry host's share to the backend server is in use"},
 }
 
 // String returns the name used in headers, counters and logs.
