--- a/internal/controller/orders/service_test.go
+++ b/internal/controller/orders/service_test.go
@@ -51,6 +51,7 @@
 		time.Sleep(transferLimit) // the bound of the sender
 		is.True(send(1))
 		time.Sleep(transferLimit)
+		synctest.Wait() // the timer fires at this very moment
 		is.Equal(held(), 0)
 		is.True(!send(2)) // no part may complete a transfer that was given up
 		is.True(send(0))
