--- a/internal/controller/orders/service_test.go
+++ b/internal/controller/orders/service_test.go
@@ -39,7 +39,7 @@
 		defer w.close()
 		c, reply := w.hosts[0].ctl, &wire.HandOverReply{}
 		send := func(part int) bool {
-			is.NoErr(c.Service().HandOver(&wire.HandOverRequest{Owner: 77, Payload: make([]byte, 1024), Part: part, Parts: 3}, reply))
+			is.NoErr(c.Service().HandOver(&wire.HandOverRequest{Owner: 1 << 40, Payload: make([]byte, 1024), Part: part, Parts: 3}, reply))
 			return reply.Accepted
 		}
 		held := func() int {
