--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -451,3 +451,35 @@
 		is.True(cold() > 0) // the asker lives, so its requests hang
 	})
 }
+
+// TestReducedLeaving guards against a leaving server that is used without a
+// lease, and against one that counts as warm when it returns.
+func TestReducedLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &link{hosts: map[string]*host{}}
+		h := newHost(t, "eh2", l, nil)
+		defer h.stop()
+		h.accept(parse(t, 1, 2, false, ""))
+		h.know("eh1")
+		synctest.Wait()
+		l.refuse.Store(true)
+		h.heard("eh1", wire.Update{Load: &wire.PoolLoad{Pool: poolID, Slots: 8, Revision: 1}})
+		used := func() (names []string) {
+			for _, g := range h.fill() {
+				names = append(names, g.Server.Name)
+				h.Release(g, ran)
+			}
+			return names
+		}
+		is.Equal(used(), []string{"b1", "b2"})
+		for revision, leaving := range []string{2: "b1", 3: ""} {
+			if revision < 2 {
+				continue
+			}
+			h.accept(parse(t, revision, 2, false, leaving))
+			synctest.Wait()
+			is.Equal(used(), []string{"b2"})
+		}
+	})
+}
