Give entry hosts of a local fleet ports that stay free

Cause: TestPartition once failed to start a host, because another connection had taken its port (listen tcp 127.0.0.1:41329: address already in use). Change: ports below the range of outgoing connections, none given twice.

--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -127,13 +128,23 @@
 	return f, f.WaitReady(ctx)
 }
 
+// givenPorts are the ports that freeAddress has returned in this process.
+var givenPorts sync.Map
+
+// freeAddress returns a loopback address below the range from which systems
+// take the ports of outgoing connections. A port of that range may be taken
+// before the entry host opens it, or while the entry host is replaced.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 11000+rand.IntN(10000))
+		if _, given := givenPorts.LoadOrStore(address, true); given {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port on the loopback address")
 }
 
 // StartHost starts entry host i, anew if it ran before.
