--- a/internal/controller/leases/leases.go
+++ b/internal/controller/leases/leases.go
@@ -26,9 +26,11 @@
 	promiseTimeout = 400 * time.Millisecond // below a renewal period
 	releaseTimeout = 500 * time.Millisecond
 	// holderNews is the interval at which a holder tells again which pools it
-	// holds. A host that missed it asks the candidate, which redirects.
-	holderNews = 30 * time.Second
+	// holds. A host that missed it asks the candidate, which redirects. At 30 s
+	// the news of 196 pools took half of the heartbeat bytes of 64 hosts.
+	holderNews = 2 * time.Minute
 	maxPools   = 4096 // pools in one message
+	startBound = time.Second
 )
 
 // adoptedRetries are the extra rounds after a release named this host: the
@@ -46,9 +48,9 @@
 	Counters *metrics.Counters
 	Log      *zap.Logger
 	Rand     *rand.Rand // not shared with others
-	// Alone is true when no peers are configured to start from. Then a host with
-	// nobody else listed takes its leases at once.
-	Alone bool
+	// Alone reports whether this host is certain to be the only one. Then it takes
+	// its leases without the one-term wait. nil: it always waits.
+	Alone func() bool
 }
 
 // Controller is the owner of state.Leases.
@@ -56,6 +58,7 @@
 	Config
 	start clock.Time
 	kick  chan struct{}
+	first chan struct{} // closed after the first round
 
 	mu        sync.Mutex // guards the fields below; control messages only
 	voter     *lease.Voter
@@ -64,6 +67,7 @@
 	learned   map[manifest.PoolID]string // holders heard of
 	adopted   map[manifest.PoolID]clock.Time
 	stopping  bool
+	begun     bool                  // first is closed
 	told      clock.Time            // of the last holder news
 	answered  map[string]clock.Time // last answer of each voter
 	view      *view
@@ -76,7 +80,7 @@
 func New(c Config) *Controller {
 	now := c.Clock.Now()
 	ctl := &Controller{
-		Config: c, start: now, kick: make(chan struct{}, 1),
+		Config: c, start: now, kick: make(chan struct{}, 1), first: make(chan struct{}),
 		voter: lease.NewVoter(now, true), candidate: lease.NewCandidate(c.Rand),
 		held: map[manifest.PoolID]*state.HeldLease{}, learned: map[manifest.PoolID]string{},
 		adopted:  map[manifest.PoolID]clock.Time{},
@@ -84,9 +88,6 @@
 		acquired: c.Counters.Int("leases_acquired"), lost: c.Counters.Int("leases_lost"),
 		refused: c.Counters.Int("leases_refused"), messages: c.Counters.Int("leases_messages"),
 	}
-	if c.Alone && lease.Alone(c.Store.Load().Members) {
-		ctl.voter, ctl.start = lease.NewVoter(now, false), now.Add(-lease.Term)
-	}
 	c.Gossip.Handle(ctl.hear)
 	return ctl
 }
@@ -122,7 +123,7 @@
 	var known *manifest.Manifest
 	for {
 		changed := c.Store.Changed()
-		if m := c.Store.Load().Manifest; m != known {
+		if m := c.Store.Load().Members.Manifest; m != known {
 			known = m
 			c.Kick()
 		}
@@ -139,6 +140,21 @@
 	}
 }
 
+// Start returns after the first round, startBound at the latest, or at once if
+// no manifest is in force. From then on requests find a believed holder, and a
+// host that is alone holds its pools. Run must be running.
+func (c *Controller) Start(ctx context.Context) {
+	if c.Store.Load().Manifest == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, startBound)
+	defer cancel()
+	select {
+	case <-c.first:
+	case <-ctx.Done():
+	}
+}
+
 // Kick starts a round without waiting for the next renewal.
 func (c *Controller) Kick() {
 	select {
@@ -147,22 +163,29 @@
 	}
 }
 
-// refresh publishes holders after a change of the members.
+// refresh publishes holders after a change of the members, and starts a round
+// when that made it certain that this host is alone.
 func (c *Controller) refresh() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.publish()
+	if c.Clock.Now().Sub(c.start) < lease.Term && c.Alone != nil && c.Alone() {
+		c.Kick()
+	}
 }
 
 // round sends one batch of requests to each voter.
 func (c *Controller) round(ctx context.Context, wg *conc.WaitGroup) {
 	snap := c.Store.Load()
-	if snap.Manifest == nil {
-		return
+	if snap.Manifest == nil || snap.Members.Manifest != snap.Manifest {
+		return // the members follow the manifest within milliseconds
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
+	if now.Sub(c.start) < lease.Term && c.Alone != nil && c.Alone() {
+		c.voter, c.start = lease.NewVoter(now, false), now.Add(-lease.Term)
+	}
 	c.expire(now, snap.Manifest)
 	clear(c.look(snap).few)
 	bids := c.bids(now, snap)
@@ -180,6 +203,10 @@
 	}
 	c.tell(now)
 	c.publish()
+	if !c.begun {
+		c.begun = true
+		close(c.first)
+	}
 }
 
 // expire drops leases that ended and those of pools that no longer exist.
--- a/internal/controller/pools/remote.go
+++ b/internal/controller/pools/remote.go
@@ -23,6 +23,12 @@
 	doneTimeout = time.Second
 	maxDone     = 4096 // queued Done messages per holder
 	maxBatch    = 256  // Done messages in one call
+	// remoteWait bounds the time in a queue for another entry host, which gives
+	// up after filter.GrantStart. The rest is for the way there and back.
+	remoteWait = filter.GrantStart / 2
+	// askAtLeast is how long an answer is waited for, also when the caller's
+	// deadline is sooner: five round trips between data centres of a region.
+	askAtLeast = 15 * time.Millisecond
 )
 
 // sender reports ended grants to one other holder. Its run goroutine sends
@@ -72,7 +78,8 @@
 	if c.caller == nil || s == nil || member == nil || int64(now) < s.unreachable.Load() {
 		return nil, nil, false
 	}
-	timeout := min(ask.Remaining, filter.GrantStart)
+	// A deadline below a round trip says nothing about the holder.
+	timeout := min(max(ask.Remaining, askAtLeast), filter.GrantStart)
 	// A caller that goes away does not end the call: the reply may hold a grant
 	// that must be given back.
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
@@ -242,9 +249,11 @@
 		return refuse(verdict.ReasonNoLease)
 	}
 	rec, refusal := h.acquire(context.Background(), cur, filter.Ask{
-		Priority: req.Priority, Route: req.Route, Idempotent: req.Idempotent, Avoid: req.Avoid,
+		// Another program version may know more priorities.
+		Priority: min(max(req.Priority, 0), manifest.MaxPriority),
+		Route:    req.Route, Idempotent: req.Idempotent, Avoid: req.Avoid,
 		Remaining: time.Duration(req.RemainingMicros) * time.Microsecond,
-		RunLimit:  min(time.Duration(req.RunLimitMillis)*time.Millisecond, time.Duration(cur.Service.RunLimit)),
+		RunLimit:  runLimit(req, cur),
 		Wait:      time.Duration(req.WaitMicros) * time.Microsecond, Spill: req.Spill,
 	}, now, &asker{incarnation: req.Incarnation, token: req.Token})
 	reply.Load = h.load()
@@ -255,6 +264,16 @@
 	return nil
 }
 
+// runLimit returns how long the asker's request may run. The asker may follow
+// another manifest, whose limit counts: a slot that is freed earlier would be
+// given out twice.
+func runLimit(req *wire.AcquireRequest, cur *manifest.Pool) time.Duration {
+	if req.RunLimitMillis <= 0 {
+		return time.Duration(cur.Service.RunLimit)
+	}
+	return time.Duration(min(req.RunLimitMillis, manifest.MaxRunLimit.Milliseconds())) * time.Millisecond
+}
+
 // Done ends grants that were given to the sender.
 func (r *Receiver) Done(req *wire.DoneRequest, reply *wire.DoneReply) error {
 	reply.Header = r.c.header(r.c.store.Load())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -46,7 +46,7 @@
 func New(o Options, l net.Listener) *Front {
 	s := o.Settings
 	f := &Front{Options: o}
-	f.listener = newListener(l, int64(s.MaxConnections), o.Counters.Int("front.connections_refused"))
+	f.listener = newListener(l, int64(s.MaxConnections), time.Duration(s.ReadTimeout), o.Counters.Int("front.connections_refused"))
 	f.app = fiber.New(fiber.Config{
 		BodyLimit: s.MaxBodyBytes, ReadBufferSize: s.MaxHeaderBytes,
 		// The listener bounds connections, with an answer that carries a
@@ -89,11 +89,11 @@
 	if err := checkFraming(&raw.Header); err != nil {
 		raw.Header.SetConnectionClose()
 		c.Response().SetConnectionClose()
-		return f.refuse(c.RequestCtx(), filter.RefuseUnread(true, string(raw.Header.Peek(filter.HeaderOrderKey)), verdict.ReasonBadRequest, err), 0)
+		return f.refuse(c.RequestCtx(), filter.RefuseUnread(true, orderKey(&raw.Header), verdict.ReasonBadRequest, err), 0)
 	}
 	r, err := copyRequest(raw)
 	if err != nil {
-		return f.refuse(c.RequestCtx(), filter.RefuseUnread(true, r.Get(filter.HeaderOrderKey), verdict.ReasonBadRequest, err), 0)
+		return f.refuse(c.RequestCtx(), filter.RefuseUnread(true, orderKey(&raw.Header), verdict.ReasonBadRequest, err), 0)
 	}
 	x := &filter.Exchange{Snapshot: f.Store.Load(), Request: r, Arrived: arrived}
 	x.Key = r.Get(filter.HeaderOrderKey)
