--- a/internal/controller/orders/service_test.go
+++ b/internal/controller/orders/service_test.go
@@ -50,7 +50,8 @@
 		is.True(send(0))
 		time.Sleep(transferLimit) // the bound of the sender
 		is.True(send(1))
-		time.Sleep(transferLimit)
+		time.Sleep(transferLimit + time.Millisecond)
+		synctest.Wait()
 		is.Equal(held(), 0)
 		is.True(!send(2)) // no part may complete a transfer that was given up
 		is.True(send(0))
