--- a/internal/fleettest/measure_test.go
+++ b/internal/fleettest/measure_test.go
@@ -2,25 +2,15 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	crand "crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
 	"fmt"
-	"math/big"
-	"net"
 	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
+	"github.com/anvilfront/anvilfront/internal/fake"
 	"github.com/anvilfront/anvilfront/internal/peer"
 	"github.com/anvilfront/anvilfront/internal/wire"
 )
@@ -63,9 +53,12 @@
 		centres = 4
 	}
 	f := New(uint64(hosts))
-	raw := &atomic.Int64{}
-	config := certificates(b)
-	f.Sockets = &Sockets{TLS: config, BasePort: 21000, Dial: countingDial(config, raw)}
+	raw := &fake.Wire{}
+	config, err := fake.PeerTLS(b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.Sockets = &Sockets{TLS: config, BasePort: 21000, Dial: raw.Dial(config)}
 	if p, err := strconv.Atoi(os.Getenv("ANVILFRONT_PORT")); err == nil {
 		f.Sockets.BasePort = p
 	}
@@ -117,11 +110,8 @@
 	}
 }
 
-func (f *Fleet) sample(raw *atomic.Int64) sample {
-	s := sample{at: time.Now(), raw: raw.Load(), kinds: map[string][3]int64{}}
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	s.cpu = time.Duration(u.Utime.Nano() + u.Stime.Nano())
+func (f *Fleet) sample(raw *fake.Wire) sample {
+	s := sample{at: time.Now(), raw: raw.Sent.Load() + raw.Received.Load(), cpu: fake.ProcessorTime(), kinds: map[string][3]int64{}}
 	for _, h := range f.Hosts {
 		for _, t := range []*peer.Traffic{h.Caller.Traffic(), h.Server.Traffic()} {
 			t.Each(func(method string, k *peer.Kind) {
@@ -167,70 +157,3 @@
 	}
 	return 0
 }
-
-// countingDial counts the bytes below TLS in both directions.
-func countingDial(config *tls.Config, raw *atomic.Int64) peer.Dial {
-	return func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		if err != nil {
-			return nil, err
-		}
-		t := tls.Client(&rawConn{conn, raw}, config)
-		if err := t.HandshakeContext(ctx); err != nil {
-			_ = conn.Close()
-			return nil, err
-		}
-		return t, nil
-	}
-}
-
-type rawConn struct {
-	net.Conn
-	n *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *rawConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.n.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *rawConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.n.Add(int64(n))
-	return n, err
-}
-
-func certificates(b *testing.B) *tls.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), crand.Reader)
-	if err != nil {
-		b.Fatal(err)
-	}
-	tmpl := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
-		KeyUsage:    x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-	}
-	der, err := x509.CreateCertificate(crand.Reader, tmpl, tmpl, &key.PublicKey, key)
-	if err != nil {
-		b.Fatal(err)
-	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		b.Fatal(err)
-	}
-	dir := b.TempDir()
-	cert, keyFile := filepath.Join(dir, "cert"), filepath.Join(dir, "key")
-	for path, block := range map[string]*pem.Block{cert: {Type: "CERTIFICATE", Bytes: der}, keyFile: {Type: "PRIVATE KEY", Bytes: keyDER}} {
-		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
-			b.Fatal(err)
-		}
-	}
-	config, err := peer.LoadTLS(cert, keyFile, cert)
-	if err != nil {
-		b.Fatal(err)
-	}
-	return config
-}
