--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
@@ -17,7 +19,7 @@
 // Options are the limits of a Transport. Zero values select the defaults.
 type Options struct {
 	MaxBody     int           // bytes of an answer's body; default 8 MiB
-	DialTimeout time.Duration // bound on opening a connection; default 500ms
+	DialTimeout time.Duration // bound on opening a connection; default filter.GrantStart
 	IdleLimit   time.Duration // an idle connection is closed after this; default 2m
 	Connections int           // connections to a server that SetServers did not name; default 250
 }
@@ -31,7 +33,9 @@
 		o.MaxBody = 8 << 20
 	}
 	if o.DialTimeout == 0 {
-		o.DialTimeout = 500 * time.Millisecond
+		// A grant cannot be used after a longer dial, and a server that vanished
+		// must count as failing also where deadlines are short.
+		o.DialTimeout = filter.GrantStart
 	}
 	if o.IdleLimit == 0 {
 		// Two connections to each of 550 servers are then opened anew 9 times a second.
@@ -43,7 +47,7 @@
 }
 
 // ErrConnections means that this process's share of connections is in use.
-var ErrConnections = filter.ErrConnections
+var ErrConnections = errors.New("backend: every connection of this entry host's share is in use")
 
 // Transport implements filter.Transport. Do is safe for concurrent use and
 // takes no lock.
@@ -81,11 +85,13 @@
 func (t *Transport) Do(ctx context.Context, a *filter.Attempt) filter.Result {
 	deadline := time.Now().Add(a.Limit)
 	h := t.host(a.Address)
-	c := t.takeIdle(h)
+	c, err := t.takeIdle(h)
+	if err != nil {
+		return filter.Result{Reset: true, Err: err}
+	}
 	if c == nil {
-		var err error
 		if c, err = t.open(ctx, h, deadline); err != nil {
-			f := verdict.Facts{Cancelled: ctx.Err() == context.Canceled}
+			f := verdict.Facts{Cancelled: ctx.Err() == context.Canceled, NoShare: errors.Is(err, ErrConnections)}
 			f.TimedOut = !f.Cancelled && !time.Now().Before(deadline)
 			return filter.Result{Facts: f, Err: err}
 		}
@@ -97,18 +103,36 @@
 	return res
 }
 
+// ErrRestarted means that the server closed connections that were in use a
+// moment ago, so that its process has probably ended.
+var ErrRestarted = errors.New("backend: the server closed connections used a moment ago")
+
+// closedEarly is the idle time below which a server has no reason to close a
+// connection. The shortest usual keep-alive time of servers is 5 s.
+const closedEarly = 4 * time.Second
+
 // takeIdle returns an idle connection that the server has not closed, or nil.
-func (t *Transport) takeIdle(h *host) *conn {
+// With ErrRestarted the request is not sent: a server that was restarted is
+// cold, and whoever granted the slot must hear of it before it gets requests
+// for the slots of a warm one. The other idle connections are closed, so that
+// this happens once for each restart.
+func (t *Transport) takeIdle(h *host) (*conn, error) {
 	for {
 		c := h.take()
 		if c == nil {
-			return nil
+			return nil, nil
 		}
-		if time.Since(c.idleSince) < t.options.IdleLimit && c.quiet() {
-			return c
+		idle := time.Since(c.idleSince)
+		state := c.look()
+		if idle < t.options.IdleLimit && state == peekedQuiet {
+			return c, nil
 		}
 		t.staleIdle.Add(1)
 		h.close(c)
+		if state == peekedClosed && idle < closedEarly {
+			t.staleIdle.Add(h.closeIdle())
+			return nil, ErrRestarted
+		}
 	}
 }
 
--- a/internal/controller/pools/holder.go
+++ b/internal/controller/pools/holder.go
@@ -44,6 +44,7 @@
 	view    atomic.Pointer[published]
 	waiting atomic.Int64 // requests in offers or in queue; the fast path is closed while above 0
 	sealed  atomic.Bool
+	broken  atomic.Bool // run panicked; another holder replaces this one
 	offers  chan *waiter
 	reports chan report
 	changed chan struct{} // snapshot changed
@@ -168,11 +169,15 @@
 // end of the longest queue time, or ctx.
 func (h *holder) wait(ctx context.Context, cur *manifest.Pool, ask filter.Ask, now clock.Time, from *asker) (*record, verdict.Reason) {
 	limit := h.queueTime(&ask)
+	wait := min(giveUpFactor*limit, ask.Remaining)
+	if from != nil {
+		limit, wait = min(limit, remoteWait), min(wait, remoteWait)
+	}
 	w := &waiter{
 		ask: ask, pool: cur, from: from, result: make(chan result, 1),
 		item: balance.Item{
 			Priority: ask.Priority, Idempotent: ask.Idempotent, Avoid: ask.Avoid,
-			Enqueued: now, MaxWait: limit, GiveUp: now.Add(giveUpFactor * limit), Deadline: now.Add(ask.Remaining),
+			Enqueued: now, MaxWait: limit, GiveUp: now.Add(wait), Deadline: now.Add(ask.Remaining),
 		},
 	}
 	w.item.Ref = w
@@ -184,7 +189,7 @@
 		return nil, verdict.ReasonQueueFull
 	}
 	h.c.count.queued.Add(1)
-	timer := time.NewTimer(min(giveUpFactor*limit, ask.Remaining))
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	reason := verdict.ReasonOverload
 	select {
--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/state"
@@ -42,6 +40,12 @@
 			limit = time.Duration(x.Service.RunLimit)
 		}
 	}
+	released := false
+	defer func() {
+		if !released { // a panic: a grant of this process has no expiry
+			d.Admitter.Release(g, filter.Report{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonInternal, Inflight: -1})
+		}
+	}()
 	refusal := verdict.ReasonNone
 	res := d.Transport.Do(ctx, &filter.Attempt{
 		Address: g.Server.Address, Request: x.Request,
@@ -53,13 +57,10 @@
 		},
 	})
 	v, reason := verdict.Decide(res.Facts)
-	switch {
-	case refusal != verdict.ReasonNone:
+	if refusal != verdict.ReasonNone {
 		reason = refusal
-	case reason == verdict.ReasonConnectFailed && errors.Is(res.Err, filter.ErrConnections):
-		// Not a failure of the server: as one, it would lower the server's limit.
-		reason = verdict.ReasonNoConnection
 	}
+	released = true
 	d.Admitter.Release(g, report(v, reason, &res))
 	out := filter.Outcome{Verdict: v, Reason: reason, Cause: res.Err, Crashed: crashed(v, reason, &res)}
 	if v == verdict.Ran {
--- a/internal/filters/dispatch_test.go
+++ b/internal/filters/dispatch_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -21,7 +20,6 @@
 	ctx      context.Context
 	reports  []filter.Report
 	response *filter.Response
-	err      error
 }
 
 func (p *ports) Acquire(context.Context, *manifest.Pool, filter.Ask) (*filter.Grant, error) {
@@ -35,7 +33,7 @@
 	if err := a.BeforeFirstByte(); err != nil {
 		return filter.Result{Facts: verdict.Facts{Connected: true}, Err: err}
 	}
-	return filter.Result{Facts: p.facts, Response: p.response, ServiceTime: time.Millisecond, Err: p.err}
+	return filter.Result{Facts: p.facts, Response: p.response, ServiceTime: time.Millisecond}
 }
 
 // TestDispatchChecks guards against a first byte that leaves after the grant,
@@ -118,26 +116,40 @@
 	}
 }
 
-// TestDispatchShare guards against a server whose limit is lowered because this
-// entry host used up its own share of connections.
-func TestDispatchShare(t *testing.T) {
-	for _, c := range []struct {
-		err    error
-		reason verdict.Reason
-		failed bool
-	}{
-		{errors.Wrap(filter.ErrConnections, "b1"), verdict.ReasonNoConnection, false},
-		{errors.New("connection refused"), verdict.ReasonConnectFailed, true},
-	} {
-		is := is.New(t)
-		p := &ports{err: c.err}
-		d := &Dispatch{Clock: &clock.Manual{}, Admitter: p, Transport: p, Store: state.NewStore(state.Member{}), Fresh: func() bool { return true }}
-		x := exchange(true)
-		x.Grant = &filter.Grant{StartBy: 1, Server: &manifest.BackendServer{}}
-		out := d.Handle(context.Background(), x, nil)
-		is.Equal(out.Verdict, verdict.NotRun)
-		is.Equal(out.Reason, c.reason)
-		is.Equal(p.reports[0].Reason, c.reason)
-		is.Equal(p.reports[0].Failed, c.failed)
-	}
+type panicking struct{ ports }
+
+func (*panicking) Do(context.Context, *filter.Attempt) filter.Result { panic("fault in the transport") }
+
+// TestDispatchPanicReleases guards against a slot that is lost for good when an
+// attempt panics: a grant of this process has no expiry. The front end and the
+// order controller recover and go on.
+func TestDispatchPanicReleases(t *testing.T) {
+	is := is.New(t)
+	p := &panicking{}
+	d := &Dispatch{Clock: &clock.Manual{}, Admitter: p, Transport: p, Store: state.NewStore(state.Member{}), Fresh: func() bool { return true }}
+	x := exchange(true)
+	x.Service.RunLimit = manifest.Duration(time.Second)
+	x.Grant = &filter.Grant{StartBy: 1, Server: &manifest.BackendServer{}}
+	func() {
+		defer func() { is.True(recover() != nil) }()
+		d.Handle(context.Background(), x, nil)
+	}()
+	is.Equal(len(p.reports), 1)
+	is.Equal(p.reports[0].Verdict, verdict.MayHaveRun)
+}
+
+// TestShareInUse guards against a sound backend server that counts as failing
+// because this process's share of its connections is in use.
+func TestShareInUse(t *testing.T) {
+	is := is.New(t)
+	p := &ports{facts: verdict.Facts{NoShare: true}}
+	d := &Dispatch{Clock: &clock.Manual{}, Admitter: p, Transport: p, Store: state.NewStore(state.Member{}), Fresh: func() bool { return true }}
+	x := exchange(true)
+	x.Grant = &filter.Grant{StartBy: 1, Server: &manifest.BackendServer{}}
+	out := d.Handle(context.Background(), x, nil)
+	is.Equal(out.Verdict, verdict.NotRun)
+	is.Equal(p.reports[0].Reason, verdict.ReasonConnections)
+	is.True(!p.reports[0].Failed)
+	_, again := decideRetry(retryInput{Verdict: out.Verdict, Reason: out.Reason, Nested: true, Allowed: 1, Left: time.Second}, random)
+	is.True(again) // another server may have connections left
 }
