Keep the slot of a cancelled request until the server can notice

Cause: a slot was free at once when a request was cancelled or timed out, while the backend server still ran it; process tests saw 5 requests in flight on 4 slots (PausedHolder, PausedHost). Result: TestCancelledRequestKeepsSlot fails without the rule and passes with it.

--- a/internal/controller/pools/pools.go
+++ b/internal/controller/pools/pools.go
@@ -259,11 +259,20 @@
 	if rec == nil {
 		return false
 	}
-	own := rec.backend.counter.Release()
+	own := rec.backend.counter.Inflight()
+	if !mayStillRun(r) || !rec.linger(c.clock.Now(), c.sequence.Add(1)) {
+		rec.backend.counter.Release()
+	}
 	rec.holder.observe(rec.backend, observation(r, own), c.clock.Now().Sub(rec.at))
 	return true
 }
 
+// mayStillRun reports whether the backend server may still run the request
+// after the asker closed its connection.
+func mayStillRun(r filter.Report) bool {
+	return r.Verdict == verdict.MayHaveRun && !r.Crashed
+}
+
 // observation maps what the asker reports to what the pool learns from it.
 func observation(r filter.Report, own int) balance.Observation {
 	o := balance.Observation{
--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -157,6 +157,26 @@
 	})
 }
 
+// TestCancelledRequestKeepsSlot guards against a server above its limit because
+// it still runs a request whose connection was closed a moment ago.
+func TestCancelledRequestKeepsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost(t, "eh1", nil, nil)
+		defer h.stop()
+		h.accept(parse(t, 1, 1, false, ""))
+		h.hold()
+		synctest.Wait()
+		g, _ := h.acquire(ask) // cold: one slot
+		h.Release(g, filter.Report{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonCallerGone, Inflight: -1})
+		_, reason := h.acquire(ask)
+		is.True(reason != verdict.ReasonNone)
+		time.Sleep(cancelNotice + tick)
+		g, _ = h.acquire(ask)
+		is.True(g != nil)
+	})
+}
+
 // TestRemoteGrants guards against remote grants that are not ended by Done, and
 // against slots that stay taken when the reply was lost.
 func TestRemoteGrants(t *testing.T) {
