Stop the entry host when a controller panics

Cause: conc keeps a panic until Wait, so a controller that panicked stopped silently and the host went on serving on a state without a writer. Change: controllers run under a guard that logs the panic and starts the graceful stop; Run returns the panic as an error.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
 
 	"github.com/anvilfront/anvilfront/internal/backend"
@@ -73,6 +74,8 @@
 	leasesSeen atomic.Bool
 	abort      context.CancelFunc // ends Run without waiting for anything
 	aborted    context.Context
+	broken     chan struct{}                    // closed when a controller panicked
+	fault      atomic.Pointer[panics.Recovered] // what it panicked with
 	closing    sync.Once
 	done       chan struct{} // closed when Run returns
 }
@@ -88,7 +91,7 @@
 
 // New assembles an entry host and opens its listeners. Run comes next.
 func New(s *settings.Settings, log *zap.Logger, options ...Option) (*EntryHost, error) {
-	e := &EntryHost{log: log, settings: s, clock: clock.NewMonotonic(), counters: metrics.New(), stopping: filters.NewStopping(), done: make(chan struct{})}
+	e := &EntryHost{log: log, settings: s, clock: clock.NewMonotonic(), counters: metrics.New(), stopping: filters.NewStopping(), done: make(chan struct{}), broken: make(chan struct{})}
 	for _, o := range options {
 		o(e)
 	}
--- a/internal/entryhost/life.go
+++ b/internal/entryhost/life.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
 )
 
@@ -22,21 +24,36 @@
 	select {
 	case <-ctx.Done():
 	case <-e.aborted.Done():
+	case <-e.broken:
 	}
 	err := e.stop()
 	end()
 	e.close()
 	wg.Wait()
+	if p := e.fault.Load(); p != nil {
+		return errors.Wrap(p.AsError(), "controller")
+	}
 	return err
 }
 
+// guarded runs a controller. A panic ends the host with a graceful stop: its
+// state has no writer any more, so another host must take over.
+func (e *EntryHost) guarded(ctx context.Context, run func(context.Context)) {
+	p := panics.Try(func() { run(ctx) })
+	if p == nil || !e.fault.CompareAndSwap(nil, p) {
+		return
+	}
+	e.log.Named("entryhost").Error("A controller panicked. The host stops.", zap.Error(p.AsError()))
+	close(e.broken)
+}
+
 // start starts the controllers and then the listener for callers.
 func (e *EntryHost) start(ctx context.Context, wg *conc.WaitGroup) {
 	wg.Go(e.peerServer.Serve)
 	for _, run := range []func(context.Context){
 		e.guard.Run, e.members.Run, e.leases.Run, e.pools.Run, e.orders.Run, e.suspects.Run, e.alerts.Run, e.connections.Run, e.transport.Run,
 	} {
-		wg.Go(func() { run(ctx) })
+		wg.Go(func() { e.guarded(ctx, run) })
 	}
 	wg.Go(func() {
 		if err := e.operator.Serve(e.operators); err != nil {
@@ -48,7 +65,7 @@
 		// a state older than theirs.
 		e.manifests.Start(ctx)
 		e.leases.Start(ctx)
-		wg.Go(func() { e.manifests.Run(ctx) })
+		wg.Go(func() { e.guarded(ctx, e.manifests.Run) })
 		if ctx.Err() != nil {
 			return
 		}
