--- a/internal/controller/pools/remote_bench_test.go
+++ b/internal/controller/pools/remote_bench_test.go
@@ -53,15 +53,7 @@
 	asker := newHostCaller(b, "eh2", client)
 	defer asker.stop()
 	asker.accept(holder.store.Load().Manifest)
-	asker.know("eh1")
-	asker.store.Update(func(s *state.Snapshot) {
-		members := *s.Members
-		members.ByName = map[string]*state.Member{"eh2": &members.Self, "eh1": {Name: "eh1", Address: l.Addr().String(), Alive: true}}
-		s.Members = &members
-	})
-	for len(*asker.senders.Load()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	asker.knowAt("eh1", l.Addr().String())
 	pool := asker.store.Load().Manifest.Pools[poolID]
 	for range 100 { // gob types are sent, the connection is open
 		if g, err := asker.Acquire(context.Background(), pool, ask); err == nil {
@@ -99,6 +91,19 @@
 	b.ReportMetric(float64(refused.Load()), "refused")
 }
 
+// knowAt tells this host of a holder at an address, and waits for its sender.
+func (h *host) knowAt(holder, address string) {
+	h.know(holder)
+	h.store.Update(func(s *state.Snapshot) {
+		members := *s.Members
+		members.ByName = map[string]*state.Member{members.Self.Name: &members.Self, holder: {Name: holder, Address: address, Alive: true}}
+		s.Members = &members
+	})
+	for len(*h.senders.Load()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // sizes are the numbers of backend servers, services and data centres at which
 // slopes are measured.
 var sizes = []struct{ servers, services, centres int }{{35, 2, 4}, {140, 8, 4}, {550, 28, 7}}
