Use the reduced limit only once the holder may not grant any more

A slot under the reduced limit was free at once after a cancellation. Change: after an overdue call the pool is refused with grant_lost (other pools are asked) until the holder is believed dead or was silent for a lease term; a refused connection still means that it is gone. Result: TestSilentHolder fails without the rule.

--- a/internal/controller/pools/pools.go
+++ b/internal/controller/pools/pools.go
@@ -244,7 +244,7 @@
 	c.learn(g.Server, r)
 	switch {
 	case g.ID == 0:
-		c.releaseReduced(g)
+		c.releaseReduced(g, r)
 	case g.Holder == c.store.Load().Members.Self.Name:
 		c.done(g.ID, r)
 	default:
--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/lease"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/verdict"
@@ -177,6 +178,40 @@
 	})
 }
 
+// TestSilentHolder guards against requests under the reduced limit beside those
+// of a holder that is paused and keeps its lease, and against a pool that stays
+// unused once the lease must have ended.
+func TestSilentHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &link{hosts: map[string]*host{}}
+		holder, asker := newHost(t, "eh1", l, nil), newHost(t, "eh2", l, nil)
+		defer holder.stop()
+		defer asker.stop()
+		m := parse(t, 1, 1, false, "")
+		holder.accept(m)
+		holder.hold()
+		asker.accept(m)
+		asker.know("eh1")
+		synctest.Wait()
+		asker.heard("eh1", wire.Update{Load: &wire.PoolLoad{Pool: poolID, Slots: 4, Revision: 1}}) // b1 is warm
+		l.delay = time.Minute
+		start := time.Now()
+		for time.Since(start) < lease.Term-filter.GrantStart {
+			_, reason := asker.acquire(ask)
+			is.Equal(reason, verdict.ReasonGrantLost)
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(filter.GrantStart)
+		g, reason := asker.acquire(ask)
+		if reason == verdict.ReasonGrantLost { // the holder was asked once more
+			g, reason = asker.acquire(ask)
+		}
+		is.Equal(reason, verdict.ReasonNone)
+		is.Equal(g.ID, uint64(0))
+	})
+}
+
 // TestRemoteGrants guards against remote grants that are not ended by Done, and
 // against slots that stay taken when the reply was lost.
 func TestRemoteGrants(t *testing.T) {
--- a/internal/controller/pools/reduced.go
+++ b/internal/controller/pools/reduced.go
@@ -34,8 +34,9 @@
 
 // reducedState outlives changes of the table.
 type reducedState struct {
-	busy     atomic.Bool // one request at a time
-	warm     atomic.Bool // by the last news of its holder, and no contrary sign since
+	busy     atomic.Bool  // one request at a time
+	free     atomic.Int64 // clock.Time from which the next one may start
+	warm     atomic.Bool  // by the last news of its holder, and no contrary sign since
 	instance atomic.Pointer[string]
 }
 
@@ -65,7 +66,7 @@
 		if !r.mine || r.server.Leaving || !r.state.warm.Load() || !slices.Contains(pool.Servers, r.server) {
 			continue
 		}
-		if r.state.busy.CompareAndSwap(false, true) {
+		if int64(now) >= r.state.free.Load() && r.state.busy.CompareAndSwap(false, true) {
 			c.count.reduced.Add(1)
 			return &filter.Grant{Pool: pool, Server: r.server, StartBy: now.Add(filter.GrantStart)}, nil
 		}
@@ -73,8 +74,11 @@
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonNoLease, nil)
 }
 
-func (c *Controller) releaseReduced(g *filter.Grant) {
+func (c *Controller) releaseReduced(g *filter.Grant, report filter.Report) {
 	if r := c.reduced.Load().byKey[keyOf(g.Server)]; r != nil {
+		if mayStillRun(report) {
+			r.state.free.Store(int64(c.clock.Now().Add(cancelNotice)))
+		}
 		r.state.busy.Store(false)
 	}
 }
--- a/internal/controller/pools/remote.go
+++ b/internal/controller/pools/remote.go
@@ -9,6 +9,7 @@
 
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/lease"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/peer"
 	"github.com/anvilfront/anvilfront/internal/state"
@@ -38,6 +39,15 @@
 	queue       chan wire.GrantDone
 	cancel      context.CancelFunc
 	unreachable atomic.Int64 // clock.Time until which the holder is not asked
+	answered    atomic.Int64 // clock.Time of the last answer, at first of the start
+	overdue     atomic.Bool  // the last call was not answered in time
+}
+
+// mayHold reports whether a holder that did not answer may still grant slots: a
+// paused or slow one keeps its lease for up to a term. The reduced limit would
+// come on top of what it grants.
+func (s *sender) mayHold(m *state.Member, now clock.Time) bool {
+	return s.overdue.Load() && m.Alive && now.Sub(clock.Time(s.answered.Load())) < lease.Term
 }
 
 // syncSenders keeps a sender for each other entry host that holds a lease.
@@ -58,6 +68,7 @@
 			continue
 		}
 		s := &sender{name: name, queue: make(chan wire.GrantDone, maxDone)}
+		s.answered.Store(int64(c.clock.Now()))
 		runCtx, cancel := context.WithCancel(ctx)
 		s.cancel = cancel
 		c.wg.Go(func() { c.runSender(runCtx, s) })
@@ -72,12 +83,15 @@
 }
 
 // acquireRemote asks the holder of the lease. asked is false when nothing left
-// this process, so that the reduced limit applies.
+// this process and the holder is gone, so that the reduced limit applies.
 func (c *Controller) acquireRemote(ctx context.Context, snap *state.Snapshot, name string, pool *manifest.Pool, ask filter.Ask, now clock.Time) (*filter.Grant, error, bool) {
 	s, member := (*c.senders.Load())[name], snap.Members.ByName[name]
-	if c.caller == nil || s == nil || member == nil || int64(now) < s.unreachable.Load() {
+	if c.caller == nil || s == nil || member == nil {
 		return nil, nil, false
 	}
+	if int64(now) < s.unreachable.Load() {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonGrantLost, nil), s.mayHold(member, now)
+	}
 	// A deadline below a round trip says nothing about the holder.
 	timeout := min(max(ask.Remaining, askAtLeast), filter.GrantStart)
 	// A caller that goes away does not end the call: the reply may hold a grant
@@ -94,10 +108,14 @@
 	err := c.caller.Call(callCtx, peer.Data, member.Address, "Pool.Acquire", req, reply)
 	switch {
 	case err == nil:
+		s.answered.Store(int64(c.clock.Now()))
+		s.overdue.Store(false)
 	case errors.Is(err, peer.ErrNotSent):
+		s.overdue.Store(callCtx.Err() != nil) // a refused connection says that the process is gone
 		s.unreachable.Store(int64(now.Add(unreachableFor)))
-		return nil, nil, false
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonGrantLost, err), s.mayHold(member, now)
 	default:
+		s.overdue.Store(true)
 		s.unreachable.Store(int64(c.clock.Now().Add(unreachableFor)))
 		c.queueDone(s, wire.GrantDone{Pool: pool.ID, Token: token})
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonGrantLost, err), true
