Use the reduced limit when the former holder lost its lease

Cause: in a partition into halves nobody holds a lease. Hosts on the side of a former holder went on asking it, took its no_lease for a final refusal and never used their reduced limit: 4 of 8 hosts served 1 to 9 requests in 2 s. Change: the reply says that the lease lapsed; unless another holder is named, the asker goes on under the reduced limit. A sealed holder does not set it, since it hands over. Result: TestFormerHolder fails without the rule.

--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -213,6 +213,28 @@
 	})
 }
 
+// TestFormerHolder guards against a side of a partition without any lease that
+// does not use its reduced limit, because it goes on asking the former holder.
+func TestFormerHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &link{hosts: map[string]*host{}}
+		former, asker := newHost(t, "eh1", l, nil), newHost(t, "eh2", l, nil)
+		defer former.stop()
+		defer asker.stop()
+		m := parse(t, 1, 1, false, "")
+		former.accept(m)
+		former.hold().Until.Store(0)
+		asker.accept(m)
+		asker.know("eh1")
+		synctest.Wait()
+		asker.heard("eh1", wire.Update{Load: &wire.PoolLoad{Pool: poolID, Slots: 4, Revision: 1}}) // b1 is warm
+		g, reason := asker.acquire(ask)
+		is.Equal(reason, verdict.ReasonNone)
+		is.Equal(g.ID, uint64(0))
+	})
+}
+
 // TestRemoteGrants guards against remote grants that are not ended by Done, and
 // against slots that stay taken when the reply was lost.
 func TestRemoteGrants(t *testing.T) {
--- a/internal/controller/pools/remote.go
+++ b/internal/controller/pools/remote.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// acquireRemote asks the holder of the lease. asked is false when nothing left
-// this process and the holder is gone, so that the reduced limit applies.
+// acquireRemote asks the holder of the lease. asked is false when the holder is
+// gone or lost the lease, so that the reduced limit applies.
 func (c *Controller) acquireRemote(ctx context.Context, snap *state.Snapshot, name string, pool *manifest.Pool, ask filter.Ask, now clock.Time) (*filter.Grant, error, bool) {
 	s, member := (*c.senders.Load())[name], snap.Members.ByName[name]
 	if c.caller == nil || s == nil || member == nil {
@@ -124,6 +124,9 @@
 		c.queueDone(s, wire.GrantDone{Pool: pool.ID, Token: token})
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonGrantLost, err), true
 	}
+	if reply.Lapsed && (reply.Holder == "" || reply.Holder == name) {
+		return nil, nil, false // nobody is known to hold the lease
+	}
 	if reply.Load.Slots > 0 {
 		c.note(reply.Load)
 	}
@@ -268,6 +271,7 @@
 	}
 	held, h := snap.Leases.Held[req.Pool], (*c.holders.Load())[req.Pool]
 	if held == nil || h == nil || !held.Valid(now) {
+		reply.Lapsed = held == nil || !held.Valid(now)
 		return refuse(verdict.ReasonNoLease)
 	}
 	rec, refusal := h.acquire(context.Background(), cur, filter.Ask{
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -202,6 +202,7 @@
 	ReasonName string
 	Holder     string // where the sender believes the lease is, if not here
 	Load       PoolLoad
+	Lapsed     bool // with reason no_lease: the sender held no lease, and did not just hand it over
 }
 
 // DoneRequest ends grants.
