Show in-flight counts and limits of held pools to operators

Cause: explain showed '-' for every backend server, because Detail compared the server's name with the view's key, which contains the address. Change: Detail compares names; a test covers it. Result: TestDetail fails before and passes after.

--- a/internal/controller/pools/detail.go
+++ b/internal/controller/pools/detail.go
@@ -21,7 +21,8 @@
 	}
 	pub := h.view.Load()
 	for i := range pub.view.Servers {
-		if s := &pub.view.Servers[i]; s.Name == server {
+		// The view names a server by its key, which contains the address.
+		if s := &pub.view.Servers[i]; pub.servers[i].Name == server {
 			return Detail{Inflight: s.Counter.Inflight(), Limit: s.Limit, Warm: s.Warm, Ejected: s.Ejected}, true
 		}
 	}
--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -213,6 +213,22 @@
 	})
 }
 
+// TestDetail guards against operators that do not see the servers of a held pool.
+func TestDetail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost(t, "eh1", nil, nil)
+		defer h.stop()
+		h.accept(parse(t, 1, 2, false, ""))
+		h.hold()
+		synctest.Wait()
+		g, _ := h.acquire(ask)
+		d, ok := h.Detail(poolID, g.Server.Name)
+		is.True(ok)
+		is.Equal(d, Detail{Inflight: 1, Limit: 1})
+	})
+}
+
 // TestFormerHolder guards against a side of a partition without any lease that
 // does not use its reduced limit, because it goes on asking the former holder.
 func TestFormerHolder(t *testing.T) {
