--- a/internal/controller/pools/host_test.go
+++ b/internal/controller/pools/host_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -174,3 +175,22 @@
 }
 
 var ran = filter.Report{Verdict: verdict.Ran, ServiceTime: time.Millisecond, Inflight: -1}
+
+// newPair returns two hosts that reach each other; they stop with the test.
+func newPair(t *testing.T) (l *link, holder, asker *host) {
+	l = &link{hosts: map[string]*host{}}
+	holder, asker = newHost(t, "eh1", l, nil), newHost(t, "eh2", l, nil)
+	t.Cleanup(holder.stop)
+	t.Cleanup(asker.stop)
+	return l, holder, asker
+}
+
+// newSingleHolder returns a host that holds the lease of a pool of one cold server.
+func newSingleHolder(t *testing.T) *host {
+	h := newHost(t, "eh1", nil, nil)
+	t.Cleanup(h.stop)
+	h.accept(parse(t, 1, 1, false, ""))
+	h.hold()
+	synctest.Wait()
+	return h
+}
--- a/internal/controller/pools/remote_test.go
+++ b/internal/controller/pools/remote_test.go
@@ -119,10 +119,7 @@
 func TestShortDeadlineKeepsHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		l := &link{hosts: map[string]*host{}}
-		holder, asker := newHost(t, "eh1", l, nil), newHost(t, "eh2", l, nil)
-		defer holder.stop()
-		defer asker.stop()
+		l, holder, asker := newPair(t)
 		m := parse(t, 1, 1, false, "")
 		holder.accept(m)
 		holder.warm(1, 0, 0)
