--- a/internal/entryhost/partition_test.go
+++ b/internal/entryhost/partition_test.go
@@ -78,6 +78,19 @@
 	return c.lost.Load()
 }
 
+// startCallers sends orders, and more lookups than the slots that can be used
+// without a lease, until ctx ends.
+func startCallers(ctx context.Context, l *localfleet.Load) *sync.WaitGroup {
+	callers := &sync.WaitGroup{}
+	for range 12 {
+		callers.Go(func() { l.Orders(ctx, 0) })
+	}
+	for range 60 {
+		callers.Go(func() { l.Lookups(ctx, 0) })
+	}
+	return callers
+}
+
 // TestPartition guards against an order that runs on both sides of a partition
 // between entry hosts, a false refusal, a side that stops serving, a backend
 // server above slots + floor(slots/2), and sides that stay apart afterwards.
@@ -101,13 +114,7 @@
 			l := localfleet.NewLoad(f)
 			l.Pace = 2 * time.Millisecond
 			ctx, cancel := context.WithCancel(context.Background())
-			var callers sync.WaitGroup
-			for range 12 {
-				callers.Go(func() { l.Orders(ctx, 0) })
-			}
-			for range 60 { // more than the slots that can be used without a lease
-				callers.Go(func() { l.Lookups(ctx, 0) })
-			}
+			callers := startCallers(ctx, l)
 			time.Sleep(6 * time.Second) // servers get warm, and holders tell so within 5 s
 			lost, reduced := counted(f, "leases_lost"), counted(f, "pools.granted_reduced")
 			t.Logf("before the partition: %d leases lost, %d slots granted under the reduced limit", lost, reduced)
