Wait until a paused process has stopped before sending to it

Cause: SIGSTOP takes effect a moment after kill returns. Change: the test waits until each thread is in state T.

--- a/internal/proctest/faults_test.go
+++ b/internal/proctest/faults_test.go
@@ -95,7 +95,7 @@
 		i = (i + centreCount) % hostCount
 	}
 	f.t.Logf("pause %s", f.hosts[i].name)
-	f.signal(i, syscall.SIGSTOP)
+	f.pause(i)
 	paused := time.Now()
 	late := f.sendLate(i)
 	f.hosts[i].aside.Store(true) // the balancer notices
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -168,6 +168,24 @@
 // signal sends a signal to host i.
 func (f *fleet) signal(i int, s syscall.Signal) { f.must(f.hosts[i].cmd.Process.Signal(s)) }
 
+// pause stops host i and waits until each of its threads has stopped. The
+// signal takes effect a moment after it was sent.
+func (f *fleet) pause(i int) {
+	f.signal(i, syscall.SIGSTOP)
+	f.eventually(5*time.Second, "the threads have stopped", func() bool {
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", f.hosts[i].cmd.Process.Pid))
+		f.must(err)
+		for _, path := range threads {
+			raw, err := os.ReadFile(path)
+			// The state follows the name, which is in parentheses.
+			if end := strings.LastIndexByte(string(raw), ')'); err == nil && !strings.HasPrefix(string(raw[end+1:]), " T") {
+				return false
+			}
+		}
+		return len(threads) > 0
+	})
+}
+
 // kill ends host i without notice and waits until it has ended.
 func (f *fleet) kill(i int) {
 	f.signal(i, syscall.SIGKILL)
