--- a/internal/controller/pools/host_test.go
+++ b/internal/controller/pools/host_test.go
@@ -185,6 +185,20 @@
 	return l, holder, asker
 }
 
+// newWarmPair returns a pair of which the first holds the lease of a pool of
+// warm servers, and the second knows it.
+func newWarmPair(t *testing.T, servers int) (l *link, holder, asker *host) {
+	l, holder, asker = newPair(t)
+	m := parse(t, 1, servers, false, "")
+	holder.accept(m)
+	holder.warm(servers, 0, 0)
+	holder.hold()
+	asker.accept(m)
+	asker.know("eh1")
+	synctest.Wait()
+	return l, holder, asker
+}
+
 // newSingleHolder returns a host that holds the lease of a pool of one cold server.
 func newSingleHolder(t *testing.T) *host {
 	h := newHost(t, "eh1", nil, nil)
--- a/internal/controller/pools/pools_test.go
+++ b/internal/controller/pools/pools_test.go
@@ -158,14 +158,7 @@
 func TestRemoteGrants(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		l, holder, asker := newPair(t)
-		m := parse(t, 1, 1, false, "")
-		holder.accept(m)
-		holder.warm(1, 0, 0)
-		holder.hold()
-		asker.accept(m)
-		asker.know("eh1")
-		synctest.Wait()
+		l, holder, asker := newWarmPair(t, 1)
 		grants := asker.fill()
 		is.Equal(len(grants), 4)
 		is.Equal(grants[0].Holder, "eh1")
@@ -274,14 +267,7 @@
 func TestSilentAsker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		l, holder, asker := newPair(t)
-		m := parse(t, 1, 2, false, "")
-		holder.accept(m)
-		holder.warm(2, 0, 0)
-		holder.hold()
-		asker.accept(m)
-		asker.know("eh1")
-		synctest.Wait()
+		l, holder, asker := newWarmPair(t, 2)
 		slow := ran
 		slow.ServiceTime = 20 * time.Millisecond
 		for range 100 { // service times become known
--- a/internal/controller/pools/remote_test.go
+++ b/internal/controller/pools/remote_test.go
@@ -119,14 +119,7 @@
 func TestShortDeadlineKeepsHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		l, holder, asker := newPair(t)
-		m := parse(t, 1, 1, false, "")
-		holder.accept(m)
-		holder.warm(1, 0, 0)
-		holder.hold()
-		asker.accept(m)
-		asker.know("eh1")
-		synctest.Wait()
+		l, _, asker := newWarmPair(t, 1)
 		l.delay = 3 * time.Millisecond // a round trip between data centres
 		short := ask
 		short.Remaining = time.Millisecond
