--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -21,6 +21,8 @@
 	MaxBody     int           // bytes of an answer's body; default 8 MiB
 	DialTimeout time.Duration // bound on opening a connection; default filter.GrantStart
 	IdleLimit   time.Duration // an idle connection is closed after this; default 2m
+	Dialect     Dialect       // how servers are spoken to; default Own
+	Lenient     bool          // answers may end with the connection, and stray bytes may follow one
 	Connections int           // connections to a server that SetServers did not name; default 250
 }
 
@@ -41,6 +43,9 @@
 		// Two connections to each of 550 servers are then opened anew 9 times a second.
 		o.IdleLimit = 2 * time.Minute
 	}
+	if o.Dialect == nil {
+		o.Dialect = Own{}
+	}
 	if o.Connections == 0 {
 		o.Connections = DefaultConnections
 	}
@@ -124,12 +129,12 @@
 		}
 		idle := time.Since(c.idleSince)
 		state := c.look()
-		if idle < t.options.IdleLimit && state == peekedQuiet {
+		if idle < t.options.IdleLimit && !c.expired(time.Now()) && state == peekedQuiet {
 			return c, nil
 		}
 		t.staleIdle.Add(1)
 		h.close(c)
-		if state == peekedClosed && idle < closedEarly {
+		if state == peekedClosed && idle < closedEarly && !t.options.Lenient {
 			t.staleIdle.Add(h.closeIdle())
 			return nil, ErrRestarted
 		}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -23,6 +23,7 @@
 	peek      func(fd uintptr) bool
 	peeked    peeked // result of the last peek
 	idleSince time.Time
+	expires   time.Time // from the server's Keep-Alive; zero if it named no time
 
 	first     bool        // a byte of the current request may have left
 	broken    bool        // the peer closed or reset the connection
@@ -52,6 +53,9 @@
 	return c
 }
 
+// expired reports whether the server may close the idle connection any moment.
+func (c *conn) expired(now time.Time) bool { return !c.expires.IsZero() && !now.Before(c.expires) }
+
 // peeked is what an idle connection looks like before its next use.
 type peeked uint8
 
--- a/internal/backend/keep.go
+++ b/internal/backend/keep.go
@@ -167,7 +167,7 @@
 				continue
 			}
 			h.count.Add(-1)
-			old := time.Since(c.idleSince) >= t.options.IdleLimit
+			old := time.Since(c.idleSince) >= t.options.IdleLimit || c.expired(time.Now())
 			if old || c.look() != peekedQuiet || !h.put(c) {
 				t.pruned.Add(1)
 				h.close(c)
--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,7 +42,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	encode(req, a)
+	t.options.Dialect.Encode(req, a)
 	resp.Header.SetNoDefaultContentType(true)
 	if a.BeforeFirstByte != nil {
 		if err := a.BeforeFirstByte(); err != nil {
@@ -57,7 +58,7 @@
 	if err == nil {
 		res.Facts.Written = true
 		resp.SkipBody = a.Request.Method == fasthttp.MethodHead
-		err = read(resp, c.r, t.options.MaxBody)
+		err = t.answer(resp, c.r, a, &res)
 	}
 	res.Facts.FirstByte = c.first
 	res.ServiceTime = time.Since(start)
@@ -66,13 +67,56 @@
 		return res, false
 	}
 	res.Response = decode(resp)
-	res.Facts.Answer = verdict.AnswerComplete
-	if res.Response.Status == fasthttp.StatusServiceUnavailable && res.Response.Get(filter.HeaderShed) == "not-run" {
-		res.Facts.Answer = verdict.AnswerShed
+	if res.Facts.Answer == verdict.AnswerForeign {
+		return res, false
+	}
+	reuse := stop() && !resp.ConnectionClose() && !res.Extra
+	if limit, ok := keepAlive(resp); ok {
+		c.expires = time.Now().Add(limit)
+	}
+	return res, reuse
+}
+
+// maxForeign bounds the answers to other requests that are passed over before
+// the one to this request.
+const maxForeign = 4
+
+// answer reads the answer to this request. Whole answers to other requests that
+// arrive before it are passed over; the connection is not used again then.
+func (t *Transport) answer(resp *fasthttp.Response, r *bufio.Reader, a *filter.Attempt, res *filter.Result) error {
+	for n := 0; ; n++ {
+		extra, err := read(resp, r, &t.options)
+		if err != nil {
+			return err
+		}
+		res.Extra = res.Extra || extra
+		var mine bool
+		res.Facts.Answer, mine = t.options.Dialect.Inspect(resp, a, res)
+		if mine || n == maxForeign {
+			return nil
+		}
+		res.Extra = true
+		resp.Reset()
+		resp.Header.SetNoDefaultContentType(true)
+	}
+}
+
+// keepAlive returns how long an idle connection may be used again, from the
+// Keep-Alive header. Half a second is kept clear of the server's own clock.
+func keepAlive(resp *fasthttp.Response) (time.Duration, bool) {
+	for part := range strings.SplitSeq(string(resp.Header.Peek("Keep-Alive")), ",") {
+		if text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if n, err := strconv.Atoi(text); err == nil && n >= 0 {
+				return time.Duration(n)*time.Second - keepAliveMargin, true
+			}
+		}
 	}
-	return res, stop() && !resp.ConnectionClose()
+	return 0, false
 }
 
+// keepAliveMargin covers the way of a request to the server.
+const keepAliveMargin = 500 * time.Millisecond
+
 // fail records the facts of an attempt without a complete answer.
 func fail(res *filter.Result, c *conn, err error, deadline time.Time) {
 	res.Err = err
@@ -97,38 +141,56 @@
 // read reads the final answer. An answer is complete only if its end is marked
 // by a length, by the last chunk, or by a status or method without a body; one
 // that ends with the connection looks the same when the server crashes.
-func read(resp *fasthttp.Response, r *bufio.Reader, maxBody int) error {
+//
+// extra is true when the connection cannot carry another answer. A server that
+// speaks the lenient dialect may mark the end of an answer by closing, and may
+// send bytes after an answer that belong to no request.
+func read(resp *fasthttp.Response, r *bufio.Reader, o *Options) (extra bool, err error) {
 	for n := 0; ; n++ {
 		if n > maxInterim {
-			return errInterim
+			return true, errInterim
 		}
 		if err := resp.Header.Read(r); err != nil {
-			return err
+			return true, err
 		}
 		if status := resp.StatusCode(); status == fasthttp.StatusSwitchingProtocols {
-			return errUpgrade
+			return true, errUpgrade
 		} else if status >= 200 {
 			break
 		}
 	}
-	if err := readBody(resp, r, maxBody); err != nil {
-		return err
+	if err := readBody(resp, r, o); err != nil {
+		return true, err
 	}
-	if r.Buffered() > 0 {
-		return errExtra
+	if r.Buffered() == 0 {
+		return endsWithConnection(resp), nil
 	}
-	return nil
+	if o.Lenient {
+		return true, nil
+	}
+	return true, errExtra
+}
+
+func hasBody(resp *fasthttp.Response) bool {
+	status := resp.StatusCode()
+	return !resp.SkipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
 }
 
-func readBody(resp *fasthttp.Response, r *bufio.Reader, maxBody int) error {
-	status, length := resp.StatusCode(), resp.Header.ContentLength()
-	if resp.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+// endsWithConnection reports whether only the end of the connection marks the
+// end of the answer.
+func endsWithConnection(resp *fasthttp.Response) bool {
+	return hasBody(resp) && resp.Header.ContentLength() < -1
+}
+
+func readBody(resp *fasthttp.Response, r *bufio.Reader, o *Options) error {
+	if !hasBody(resp) {
 		return nil
 	}
-	if length < -1 {
+	length := resp.Header.ContentLength()
+	if length < -1 && !o.Lenient {
 		return errNoLength
 	}
-	if err := resp.ReadBody(r, maxBody); err != nil {
+	if err := resp.ReadBody(r, o.MaxBody); err != nil {
 		return err
 	}
 	if length == -1 {
@@ -137,34 +199,6 @@
 	return nil
 }
 
-// encode builds the message for the backend server. The front end already
-// removed the headers that callers must not set.
-func encode(req *fasthttp.Request, a *filter.Attempt) {
-	r := a.Request
-	req.Header.SetMethod(r.Method)
-	if r.Query != "" {
-		req.Header.SetRequestURI(r.Path + "?" + r.Query)
-	} else {
-		req.Header.SetRequestURI(r.Path)
-	}
-	req.Header.SetNoDefaultContentType(true)
-	for i := range r.Headers {
-		switch name := r.Headers[i].Name; name {
-		case filter.HeaderDeadline, filter.HeaderRetryBudget, filter.HeaderWantKeys, filter.HeaderOrderKey:
-		default:
-			req.Header.Add(name, r.Headers[i].Value)
-		}
-	}
-	host := r.Host
-	if host == "" {
-		host = a.Address // HTTP/1.0 needs no Host header, HTTP/1.1 does
-	}
-	req.Header.SetHost(host)
-	req.Header.Set(filter.HeaderDeadline, strconv.FormatInt(max(0, a.Remaining.Milliseconds()), 10))
-	req.Header.Set(filter.HeaderRetryBudget, "0")
-	req.SetBodyRaw(r.Body)
-}
-
 // decode copies the answer. For HEAD, Content-Length states the length that
 // GET would have and is kept for the front end.
 func decode(resp *fasthttp.Response) *filter.Response {
--- /dev/null
+++ b/internal/controller/feeds/servers.go
@@ -0,0 +1,134 @@
+package feeds
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/load"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/state"
+)
+
+// lapseGrace is how long after the platform was away the removal of a backend
+// server is held back. Registrations that lapsed meanwhile are back within about
+// two seconds of the platform's return.
+const lapseGrace = 2500 * time.Millisecond
+
+// serverTable holds the published servers and the removals that are held back.
+type serverTable struct {
+	byKey map[string]*state.Server
+	held  map[string]clock.Time // key of a removed registration: when the removal takes effect
+	dirty bool
+}
+
+func newServerTable() serverTable {
+	return serverTable{byKey: map[string]*state.Server{}, held: map[string]clock.Time{}}
+}
+
+// publish decodes the replica and publishes manifest and servers.
+func (c *Controller) publish() {
+	c.changed.Store(c.replica.Changed())
+	if c.replica.Changed() == 0 {
+		return
+	}
+	next := c.cfg.Decoder.Decode(c.replica, c.published)
+	if next == c.published && !c.servers.dirty {
+		return
+	}
+	now := c.cfg.Clock.Now()
+	if old := c.published.Manifest; next.Manifest != nil && (old == nil || old.File.Revision < next.Manifest.File.Revision) {
+		c.log.Info("A configuration is in force.", zap.Uint64("version", next.Manifest.File.Revision),
+			zap.Int("routes", len(next.Manifest.File.Routes)), zap.Uint64("revision", c.replica.Revision()))
+	}
+	c.mergeServers(now, next)
+	c.published = next
+	servers := c.servers.build(next)
+	c.cfg.Store.Update(func(s *state.Snapshot) { s.Manifest, s.Servers = next.Manifest, servers })
+}
+
+// publishHeld publishes again when a held removal takes effect.
+func (c *Controller) publishHeld() {
+	now := c.cfg.Clock.Now()
+	for key, at := range c.servers.held {
+		if now.Before(at) {
+			continue
+		}
+		c.log.Info("A backend server is gone.", zap.String("server", c.servers.byKey[key].Name))
+		delete(c.servers.held, key)
+		delete(c.servers.byKey, key)
+		c.servers.dirty = true
+	}
+	if c.servers.dirty {
+		c.publish()
+		c.servers.dirty = false
+	}
+}
+
+func (c *Controller) mergeServers(now clock.Time, next *Published) {
+	t := &c.servers
+	away := c.away.Load()
+	for key, r := range next.Servers {
+		delete(t.held, key)
+		old := t.byKey[key]
+		if old != nil && old.Revision == r.Revision {
+			continue
+		}
+		t.byKey[key] = c.server(now, r, old)
+	}
+	for key, s := range t.byKey {
+		if _, ok := next.Servers[key]; ok {
+			continue
+		}
+		if _, held := t.held[key]; held {
+			continue
+		}
+		if !s.Leaving && away != 0 && now.Sub(clock.Time(away)) < lapseGrace {
+			t.held[key] = clock.Time(away).Add(lapseGrace)
+			c.log.Info("A registration lapsed while the platform was away. Its removal is held back.", zap.String("server", s.Name))
+			continue
+		}
+		c.log.Info("A backend server is gone.", zap.String("server", s.Name), zap.String("service", s.Service))
+		delete(t.byKey, key)
+	}
+}
+
+// server returns the published form of a record. The load of a server that
+// only changed its state is kept; a new process starts with none.
+func (c *Controller) server(now clock.Time, r Record, old *state.Server) *state.Server {
+	s := &state.Server{
+		BackendServer: manifest.BackendServer{Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots, Leaving: r.Leaving},
+		Service:       r.Service, Born: r.Born, Revision: r.Revision, Load: &load.State{},
+		Local: r.DataCentre == c.cfg.Store.Load().Members.Self.DataCentre,
+	}
+	same := old != nil && old.Born == r.Born && old.Address == r.Address
+	if same {
+		s.Load = old.Load
+	}
+	if r.Cold > 0 {
+		s.ColdUntil = now.Add(r.Cold)
+	}
+	if old == nil || !same || old.Leaving != r.Leaving {
+		c.log.Info("A backend server is registered.", zap.String("server", r.Name), zap.String("service", r.Service),
+			zap.String("address", r.Address), zap.Bool("leaving", r.Leaving), zap.Duration("cold", r.Cold))
+	}
+	return s
+}
+
+// build returns the immutable table for filters.
+func (t *serverTable) build(p *Published) *state.Servers {
+	out := &state.Servers{ByService: map[string][]*state.Server{}, ByName: map[string]*state.Server{}, Out: p.Out}
+	for _, s := range t.byKey {
+		out.ByName[s.Name] = s
+		if !s.Leaving && !p.Out[s.DataCentre] {
+			out.ByService[s.Service] = append(out.ByService[s.Service], s)
+		}
+	}
+	for _, list := range out.ByService {
+		slices.SortFunc(list, func(a, b *state.Server) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controller/measures/beats.go
@@ -0,0 +1,124 @@
+package measures
+
+import (
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/load"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/wire"
+)
+
+const (
+	// fresh is the age up to which a reading is told to the own data centre.
+	fresh = 2 * Period
+	// digestAge is the age up to which a reading is told to other data centres.
+	digestAge = time.Second
+	// maxReadings and maxOutcomes keep a beat within wire.MaxBeat bytes; a
+	// reading takes up to 24 bytes, an outcome up to 16.
+	maxReadings = 36
+	maxOutcomes = 20
+)
+
+// keyed finds servers by their short form in beats.
+type keyed struct {
+	servers *state.Servers
+	byKey   map[uint32]*state.Server
+}
+
+// find returns the server of a key, or nil. Two servers of the same key are
+// both left out: a reading would count for the wrong one.
+func (c *Controller) find(key uint32) *state.Server {
+	servers := c.cfg.Store.Load().Servers
+	k := c.keys.Load()
+	if k == nil || k.servers != servers {
+		k = &keyed{servers, make(map[uint32]*state.Server, len(servers.ByName))}
+		for name, s := range servers.ByName {
+			id := wire.ServerKey(name)
+			if _, twice := k.byKey[id]; twice {
+				k.byKey[id] = nil
+				continue
+			}
+			k.byKey[id] = s
+		}
+		c.keys.Store(k)
+	}
+	return k.byKey[key]
+}
+
+// Fill implements mesh.Part: the readings of this host, and what its requests
+// met since the last beat.
+func (c *Controller) Fill(now clock.Time, b *wire.Beat) {
+	for _, s := range *c.mine.Load() {
+		if r := s.Load.Reading(); r != nil && now.Sub(r.At) < fresh && len(b.Readings) < maxReadings {
+			b.Readings = append(b.Readings, toWire(s.Name, r, now))
+		}
+	}
+	for _, s := range c.cfg.Store.Load().Servers.ByName {
+		if len(b.Outcomes) == maxOutcomes {
+			return
+		}
+		if t := s.Load.Drain(); t.Count > 0 {
+			b.Outcomes = append(b.Outcomes, wire.Outcome{
+				Server: wire.ServerKey(s.Name), Count: uint16(t.Count), Failed: uint16(t.Failed), Ratio: uint16(100 * t.Ratio),
+			})
+		}
+	}
+}
+
+// FillDigest implements mesh.Part: the newest readings of this data centre's
+// servers.
+func (c *Controller) FillDigest(now clock.Time, b *wire.Beat) {
+	for _, s := range c.cfg.Store.Load().Servers.ByName {
+		if !s.Local || s.Leaving || len(b.Readings) == maxReadings {
+			continue
+		}
+		if r := s.Load.Reading(); r != nil && now.Sub(r.At) < digestAge {
+			b.Readings = append(b.Readings, toWire(s.Name, r, now))
+		}
+	}
+}
+
+// Heard implements mesh.Part.
+func (c *Controller) Heard(now clock.Time, b *wire.Beat) {
+	for i := range b.Readings {
+		w := &b.Readings[i]
+		if s := c.find(w.Server); s != nil {
+			s.Load.Observe(fromWire(w, now))
+		}
+	}
+	for _, o := range b.Outcomes {
+		s := c.find(o.Server)
+		if s == nil {
+			continue
+		}
+		s.Load.Outcomes(now, int(min(o.Count, 100)), int(min(o.Failed, o.Count)))
+		if o.Ratio > 0 {
+			s.Load.Slower(now, float64(o.Ratio)/100)
+		}
+	}
+}
+
+func toWire(name string, r *load.Reading, now clock.Time) wire.Reading {
+	w := wire.Reading{
+		Server: wire.ServerKey(name), Running: uint16(r.Running), Waiting: uint16(r.Waiting), Slots: uint16(r.Slots),
+		Speed: uint16(min(100*r.Speed, 60000)), Unhealthy: r.Unhealthy, Silent: r.Silent,
+		AgeMillis: uint32(now.Sub(r.At) / time.Millisecond),
+	}
+	if now.Before(r.ColdUntil) {
+		w.ColdMillis = uint32(r.ColdUntil.Sub(now)/time.Millisecond) + 1
+	}
+	return w
+}
+
+func fromWire(w *wire.Reading, now clock.Time) load.Reading {
+	r := load.Reading{
+		At:      now.Add(-time.Duration(w.AgeMillis) * time.Millisecond),
+		Running: int(w.Running), Waiting: int(w.Waiting), Slots: int(w.Slots),
+		Speed: float64(w.Speed) / 100, Unhealthy: w.Unhealthy, Silent: w.Silent,
+	}
+	if w.ColdMillis > 0 {
+		r.ColdUntil = now.Add(time.Duration(w.ColdMillis) * time.Millisecond)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/feedhost/feedhost.go
@@ -0,0 +1,325 @@
+// Package feedhost assembles an entry host whose configuration and backend
+// servers are published by a platform. An adapter brings what is particular to
+// the platform: the source of the feed, its decoder, and the dialects towards
+// callers and backend servers.
+package feedhost
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/backend"
+	"github.com/anvilfront/anvilfront/internal/callers"
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/controller/feeds"
+	"github.com/anvilfront/anvilfront/internal/controller/measures"
+	"github.com/anvilfront/anvilfront/internal/controller/mesh"
+	"github.com/anvilfront/anvilfront/internal/controller/pause"
+	"github.com/anvilfront/anvilfront/internal/feed"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/filters"
+	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/operator"
+	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/roster"
+	"github.com/anvilfront/anvilfront/internal/settings"
+	"github.com/anvilfront/anvilfront/internal/state"
+)
+
+const (
+	// maxBodyBytes bounds bodies, which are held in memory until they are sent.
+	maxBodyBytes = 8 << 20
+	// maxCallers bounds callers' connections; the smallest hosts have 4,100
+	// descriptors, of which backend servers take most of the rest.
+	maxCallers = 2500
+	// backendIdle closes connections before the users' servers do, after 10 s.
+	backendIdle = 8 * time.Second
+	// exitReserve is kept of the stop bound for leaving in order.
+	exitReserve = 300 * time.Millisecond
+	// settle is how long a stopping host stays after the last request in flight,
+	// for answers on their way and requests that were just sent.
+	settle = 100 * time.Millisecond
+)
+
+// Adapter is what is particular to a platform.
+type Adapter struct {
+	Source  feed.Source
+	Decoder feeds.Decoder
+	Dialect backend.Dialect
+	Codec   callers.Codec
+	// Ready returns the handler of the balancer's question for readiness.
+	Ready func(ready func() bool) fasthttp.RequestHandler
+}
+
+// Host is one running entry host.
+type Host struct {
+	log      *zap.Logger
+	settings *settings.Settings
+	adapter  Adapter
+	clock    clock.Clock
+	counters *metrics.Counters
+	store    *state.Store
+
+	transport  *backend.Transport
+	mesh       *mesh.Controller
+	feeds      *feeds.Controller
+	measures   *measures.Controller
+	placement  *filters.Placement
+	guard      *pause.Guard
+	peerClient *peer.Client
+	peerServer *peer.Server
+	callers    *callers.Server
+	ready      *fasthttp.Server
+	operator   *operator.Server
+	stopping   *filters.Stopping
+
+	listeners struct{ ready, operator net.Listener }
+	leaving   atomic.Bool
+	broken    chan struct{}
+	fault     atomic.Pointer[panics.Recovered]
+}
+
+// New assembles a host and opens its listeners. Run comes next.
+func New(s *settings.Settings, log *zap.Logger, a Adapter) (*Host, error) {
+	h := &Host{
+		log: log, settings: s, adapter: a, clock: clock.NewMonotonic(), counters: metrics.New(),
+		stopping: filters.NewStopping(), broken: make(chan struct{}),
+	}
+	h.counters.AddProcess()
+	h.store = state.NewStore(state.Member{Name: s.Name, Address: s.Peer, DataCentre: s.DataCentre, Alive: true})
+	h.store.Beat(h.clock.Now())
+	if err := h.assemble(); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (h *Host) assemble() error {
+	s := h.settings
+	h.transport = backend.New(backend.Options{
+		MaxBody: maxBodyBytes, Dialect: h.adapter.Dialect, Lenient: true, IdleLimit: backendIdle,
+	})
+	if err := h.assembleMesh(); err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", s.Peer)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	h.peerClient, h.peerServer = peer.NewClient(nil), peer.NewServer(peers)
+	port, err := netip.ParseAddrPort(s.Peer)
+	if err != nil {
+		return errors.Wrap(err, "address for peers")
+	}
+	h.feeds = feeds.New(feeds.Config{
+		Clock: h.clock, Store: h.store, Source: h.adapter.Source, Decoder: h.adapter.Decoder, Roster: h.mesh,
+		Caller: h.peerClient, PeerPort: int(port.Port()), Counters: h.counters, Log: h.log, Rand: newRand(),
+	})
+	if err := h.feeds.Register(h.peerServer); err != nil {
+		return errors.Wrap(err, "register message handlers")
+	}
+	h.measures = measures.New(measures.Config{
+		Clock: h.clock, Store: h.store, Transport: h.transport, Mesh: h.mesh, Counters: h.counters, Log: h.log,
+	})
+	h.mesh.Add(h.feeds)
+	h.mesh.Add(h.measures)
+	h.placement = &filters.Placement{Clock: h.clock, Store: h.store, Cold: h.measures}
+	h.guard = &pause.Guard{Clock: h.clock, Store: h.store, Resync: func(context.Context) {}, Counters: h.counters, Log: h.log.Named("pause")}
+	return h.assembleListeners()
+}
+
+func (h *Host) assembleMesh() error {
+	s := h.settings
+	address, err := net.ResolveUDPAddr("udp4", s.Mesh)
+	if err != nil {
+		return errors.Wrap(err, "address for the mesh")
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for the mesh")
+	}
+	seeds, err := seedAddresses(s)
+	if err != nil {
+		return err
+	}
+	h.mesh = mesh.New(mesh.Config{
+		Clock: h.clock, Conn: conn, Seeds: seeds, Rand: newRand(), Counters: h.counters, Log: h.log,
+		Self: roster.Host{Address: conn.LocalAddr().String(), DataCentre: s.DataCentre, Incarnation: uint64(rand.Uint32() | 1)},
+	})
+	return nil
+}
+
+// seedAddresses returns the datagram addresses of the settings' peers. All hosts
+// use the same port.
+func seedAddresses(s *settings.Settings) ([]string, error) {
+	own, err := netip.ParseAddrPort(s.Mesh)
+	if err != nil {
+		return nil, errors.Wrap(err, "address for the mesh")
+	}
+	seeds := make([]string, 0, len(s.Peers))
+	for _, p := range s.Peers {
+		seed, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return nil, errors.Wrap(err, "address of a peer")
+		}
+		seeds = append(seeds, netip.AddrPortFrom(seed.Addr(), own.Port()).String())
+	}
+	return seeds, nil
+}
+
+func (h *Host) assembleListeners() error {
+	s := h.settings
+	front, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	h.callers = callers.New(callers.Config{
+		Listener: front, Codec: h.adapter.Codec, Chain: h.chain(), Store: h.store, Clock: h.clock, Counters: h.counters,
+		Log: h.log.Named("callers"), MaxConnections: maxCallers, MaxBodyBytes: maxBodyBytes, Observe: h.observe,
+	})
+	if h.listeners.ready, err = net.Listen("tcp", s.Ready); err != nil {
+		return errors.Wrap(err, "listen for readiness")
+	}
+	h.ready = &fasthttp.Server{Handler: h.adapter.Ready(h.Ready), NoDefaultServerHeader: true}
+	if h.listeners.operator, err = net.Listen("tcp", s.Operator); err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	h.counters.Set("callers.active", expvar.Func(func() any { return h.callers.Active() }))
+	h.counters.Set("backend.connections", expvar.Func(func() any { return h.transport.Counts() }))
+	h.operator = operator.New(operator.Config{
+		Log:   h.log,
+		Ready: func() (bool, string) { return h.Ready(), "no configuration, or stopping" },
+		Vars:  h.counters.Map().String,
+	})
+	return nil
+}
+
+// Ready reports whether the balancer should send callers here.
+func (h *Host) Ready() bool { return !h.leaving.Load() && h.feeds.Ready() }
+
+// chain returns the path of a request, in order.
+func (h *Host) chain() filter.Handler {
+	return filter.Chain(
+		// Counts requests in flight.
+		h.stopping,
+		// Turns the caller's time budget into an absolute deadline.
+		filters.Deadline{},
+		// Finds route and service.
+		filters.Route{},
+		// Repeats what follows, within the budget.
+		&filters.Retry{Clock: h.clock, Counters: h.counters},
+		// Chooses a backend server by expected completion.
+		h.placement,
+		// Sends the request, reads the answer and decides the verdict.
+		&filters.Dispatch{
+			Clock: h.clock, Admitter: h.placement, Transport: h.transport, Store: h.store,
+			Fresh: func() bool { return true },
+		},
+	)
+}
+
+// observe counts and logs a finished request.
+func (h *Host) observe(x *filter.Exchange, out *filter.Outcome) {
+	h.counters.Verdict(out.Verdict)
+	if out.Response != nil && out.Response.Status < 500 {
+		return
+	}
+	h.counters.Refusal(out.Reason)
+	if ce := h.log.Check(zap.InfoLevel, "requests: not served."); ce != nil {
+		fields := []zap.Field{zap.Stringer("reason", out.Reason), zap.Stringer("verdict", out.Verdict)}
+		if x.Request != nil {
+			fields = append(fields, zap.String("id", x.Request.ID), zap.Strings("tried", x.Tried), zap.Duration("took", h.clock.Now().Sub(x.Arrived)))
+		}
+		if out.Cause != nil {
+			fields = append(fields, zap.Error(out.Cause))
+		}
+		ce.Write(fields...)
+	}
+}
+
+// guarded runs a controller. A panic ends the host with a graceful stop, since
+// its state has no writer any more.
+func (h *Host) guarded(ctx context.Context, run func(context.Context)) {
+	p := panics.Try(func() { run(ctx) })
+	if p == nil || !h.fault.CompareAndSwap(nil, p) {
+		return
+	}
+	h.log.Error("host: a controller panicked. The host stops.", zap.Error(p.AsError()))
+	close(h.broken)
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var wg conc.WaitGroup
+	wg.Go(h.peerServer.Serve)
+	for _, run := range []func(context.Context){
+		h.mesh.Run, h.feeds.Run, h.measures.Run, h.transport.Run, h.guard.Run, h.callers.Serve,
+	} {
+		wg.Go(func() { h.guarded(running, run) })
+	}
+	wg.Go(func() { _ = h.ready.Serve(h.listeners.ready) })
+	wg.Go(func() { _ = h.operator.Serve(h.listeners.operator) })
+	h.log.Info("host: started.", zap.String("callers", h.settings.Listen), zap.String("data_centre", h.settings.DataCentre))
+	select {
+	case <-ctx.Done():
+	case <-h.broken:
+	}
+	h.stop()
+	end()
+	if p := h.fault.Load(); p != nil {
+		return errors.Wrap(p.AsError(), "controller")
+	}
+	return nil
+}
+
+// stop takes the host out of the balancer, serves on until the balancer has
+// noticed, ends connections as their answers are written, and returns when no
+// request is left or the stop bound is near.
+func (h *Host) stop() {
+	start := h.clock.Now()
+	h.leaving.Store(true)
+	h.mesh.Leave()
+	h.log.Info("host: stopping.", zap.Int64("requests", h.callers.Active()))
+	bound, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.StopBound)-exitReserve)
+	defer cancel()
+	h.callers.LastAnswers()
+	notice := time.NewTimer(time.Duration(h.settings.Notice))
+	defer notice.Stop()
+	<-notice.C
+	h.callers.Drain()
+	for h.callers.Idle(bound) {
+		quiet := time.NewTimer(settle)
+		<-quiet.C
+		if h.callers.Active() == 0 {
+			break
+		}
+	}
+	h.log.Info("host: stopped.", zap.Int64("requests_cut", h.callers.Active()), zap.Duration("took", h.clock.Now().Sub(start)))
+}
+
+// Reload takes new settings. Addresses and the data centre of a running process
+// stay; hosts to start from are taken over.
+func (h *Host) Reload(s *settings.Settings) {
+	seeds, err := seedAddresses(s)
+	if err != nil {
+		h.log.Error("host: the settings name a peer that cannot be.", zap.Error(err))
+		return
+	}
+	h.mesh.SetSeeds(seeds)
+	h.log.Info("host: settings reloaded.", zap.Strings("seeds", seeds))
+}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/manifest"
@@ -17,6 +18,7 @@
 
 // Request is a caller's request. All fields are copies that outlive the front end's handler.
 type Request struct {
+	ID      string // given by the caller, for logs; "" if none
 	Method  string
 	Host    string
 	Path    string // without the query string
@@ -99,7 +101,10 @@
 	Response *Response // set when Verdict is Ran and the answer is at hand
 	FreshKey string    // order key to send again with, after a binding refusal
 	Cause    error     // detail for logs; may be nil
-	Crashed  bool      // the backend server closed or reset the connection while the request ran
+	// RetryAfter is when a caller that was refused should come back; 0 means the
+	// front end's default.
+	RetryAfter time.Duration
+	Crashed    bool // the backend server closed or reset the connection while the request ran
 }
 
 // Refuse returns the outcome of a request that did not run.
--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -16,7 +16,7 @@
 // verdict and releases the grant.
 type Dispatch struct {
 	Clock     clock.Clock
-	Admitter  filter.Admitter
+	Admitter  filter.Releaser
 	Transport filter.Transport
 	Store     *state.Store
 	// Fresh reports whether this process may send new work. It is false after a
@@ -48,7 +48,7 @@
 	}()
 	refusal := verdict.ReasonNone
 	res := d.Transport.Do(ctx, &filter.Attempt{
-		Address: g.Server.Address, Request: x.Request,
+		Address: g.Server.Address, Instance: g.Server.Name, Request: x.Request,
 		Remaining: x.Deadline.Sub(d.Clock.Now()), Limit: limit,
 		BeforeFirstByte: func() error {
 			var err error
@@ -65,6 +65,9 @@
 	out := filter.Outcome{Verdict: v, Reason: reason, Cause: res.Err, Crashed: crashed(v, reason, &res)}
 	if v == verdict.Ran {
 		out.Response = res.Response
+		if x.Route.RetryErrors && res.Response.Status >= 500 {
+			out.Reason = verdict.ReasonBackendError
+		}
 	}
 	return out
 }
@@ -113,7 +116,7 @@
 }
 
 func report(v verdict.Verdict, reason verdict.Reason, res *filter.Result) filter.Report {
-	r := filter.Report{Verdict: v, Reason: reason, ServiceTime: res.ServiceTime, Crashed: res.Reset, Inflight: -1}
+	r := filter.Report{Verdict: v, Reason: reason, ServiceTime: res.ServiceTime, Crashed: res.Reset, Inflight: -1, Load: res.Load}
 	r.Failed = v == verdict.MayHaveRun && reason != verdict.ReasonCallerGone || reason == verdict.ReasonConnectFailed
 	if res.Response != nil {
 		r.Failed = r.Failed || res.Response.Status >= 500 && v == verdict.Ran
--- /dev/null
+++ b/internal/filters/placement.go
@@ -0,0 +1,215 @@
+package filters
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/placement"
+	"github.com/anvilfront/anvilfront/internal/state"
+	"github.com/anvilfront/anvilfront/internal/verdict"
+)
+
+const (
+	// remoteTravel is the round trip to another data centre of the region beyond
+	// that within the own one.
+	remoteTravel = 3 * time.Millisecond
+	// shunTime keeps requests away from a server that refused a connection. It
+	// is measured again several times meanwhile.
+	shunTime = 300 * time.Millisecond
+	// coldShare is the number of hosts that may take themselves for the one that
+	// sends to a cold server, when views differ: both sides of a partition and
+	// one host that was just started.
+	coldShare = 3
+	// coldWindow is the span over which requests to a cold server are bounded.
+	coldWindow = time.Second
+	// firstWork is the part of a route's objective that its work is taken to
+	// last until it was measured.
+	firstWork = 3
+	// workWeight is the weight of the newest observation in a route's work.
+	workWeight = 0.05
+	// retryAfterLeast and retryAfterMost bound, as parts of the objective, when
+	// a refused caller is told to come back. The spread keeps callers that were
+	// refused together from returning together.
+	retryAfterLeast, retryAfterMost = 0.15, 0.4
+	// lowUrgency is the part of its objective that the wait of the least urgent
+	// request may use up; the most urgent one may use all of it.
+	lowUrgency = 0.8
+)
+
+// ColdSender reports whether this host may send to a cold backend server now.
+type ColdSender interface{ SendsCold(s *state.Server) bool }
+
+// Placement chooses the backend server of an attempt by expected completion,
+// from load readings, and refuses what cannot be served in time. It keeps no
+// lock and allocates nothing that grows with the fleet.
+type Placement struct {
+	Clock clock.Clock
+	Store *state.Store
+	Cold  ColdSender
+	work  table[average] // by route name
+	speed table[average] // by service name
+}
+
+// average is an exponentially weighted mean. The zero value has none.
+type average struct{ bits atomic.Uint64 }
+
+func (a *average) get(otherwise float64) float64 {
+	if b := a.bits.Load(); b != 0 {
+		return math.Float64frombits(b)
+	}
+	return otherwise
+}
+
+// add moves the mean towards v. A lost update between two threads is one lost
+// observation.
+func (a *average) add(v, weight, otherwise float64) {
+	old := a.bits.Load()
+	mean := otherwise
+	if old != 0 {
+		mean = math.Float64frombits(old)
+	}
+	a.bits.CompareAndSwap(old, math.Float64bits(mean+weight*(v-mean)))
+}
+
+// Name implements filter.Filter.
+func (*Placement) Name() string { return "placement" }
+
+// Handle implements filter.Filter.
+func (p *Placement) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
+	now := p.Clock.Now()
+	ask := p.ask(x, now)
+	if ask.Left <= 0 {
+		return filter.Refuse(verdict.ReasonDeadline, nil)
+	}
+	// The servers of now, not those of the request's snapshot: one that left
+	// since must not get a repetition.
+	servers := p.Store.Load().Servers.ByService[x.Service.Name]
+	choice := p.choose(servers, x, ask, now)
+	switch placement.Admit(choice, ask) {
+	case placement.TooLate:
+		return p.refuse(x, verdict.ReasonWontFinish, !choice.Found)
+	case placement.Crowded:
+		return p.refuse(x, verdict.ReasonOverload, false)
+	}
+	target := servers[choice.Index]
+	target.Load.Start()
+	x.Grant = &filter.Grant{
+		Server: &target.BackendServer, StartBy: now.Add(filter.GrantStart),
+		Target: target, Expected: choice.Finish, Learn: p.learner(x, float64(choice.Finish)/float64(ask.Work)),
+	}
+	return next.Handle(ctx, x)
+}
+
+func (p *Placement) ask(x *filter.Exchange, now clock.Time) placement.Ask {
+	objective := time.Duration(x.Route.Objective)
+	if objective <= 0 {
+		objective = x.Deadline.Sub(x.Arrived)
+	}
+	urgency := lowUrgency + (1-lowUrgency)*float64(x.Route.Priority)/manifest.MaxPriority
+	return placement.Ask{
+		Work:      time.Duration(p.work.get(x.Route.Name).get(float64(objective) / firstWork)),
+		Objective: max(objective-now.Sub(x.Arrived), objective/4),
+		Left:      x.Deadline.Sub(now), Urgency: urgency,
+	}
+}
+
+// choose returns the best warm server, or a cold one that this host may send
+// to when no warm one has room.
+func (p *Placement) choose(servers []*state.Server, x *filter.Exchange, ask placement.Ask, now clock.Time) placement.Choice {
+	usual := p.speed.get(x.Service.Name).get(1)
+	var best, cold placement.Choice
+	for i, s := range servers {
+		if s.Load.Shunned(now) || contains(x.Tried, s.Name) {
+			continue
+		}
+		e := s.Load.Estimate(now, usual, s.Slots)
+		if e.Silent {
+			continue
+		}
+		c := placement.Candidate{Estimate: e, Local: s.Local}
+		if !s.Local {
+			c.Travel = remoteTravel
+		}
+		if e.Cold || now.Before(s.ColdUntil) {
+			if s.Local && p.Cold.SendsCold(s) {
+				cold.Consider(i, c, ask, random)
+			}
+			continue
+		}
+		best.Consider(i, c, ask, random)
+	}
+	if cold.Found && !best.Room && (!best.Found || cold.Finish < best.Finish) {
+		if servers[cold.Index].Load.Cold.Take(now, coldQuota(x.Service), coldWindow) {
+			return cold
+		}
+	}
+	return best
+}
+
+// coldQuota is this host's part of the requests a second that a cold server of
+// the service bears.
+func coldQuota(s *manifest.Service) int { return max(1, int(s.ColdPerSecond/coldShare)) }
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placement) refuse(x *filter.Exchange, r verdict.Reason, none bool) filter.Outcome {
+	if none {
+		r = verdict.ReasonNoBackend
+	}
+	out := filter.Refuse(r, nil)
+	out.RetryAfter = RetryAfter(x)
+	return out
+}
+
+// RetryAfter returns when the caller of a request that has not run should send
+// it again.
+func RetryAfter(x *filter.Exchange) time.Duration {
+	objective := x.Deadline.Sub(x.Arrived)
+	if x.Route != nil && x.Route.Objective > 0 {
+		objective = time.Duration(x.Route.Objective)
+	}
+	return time.Duration(float64(objective) * (retryAfterLeast + (retryAfterMost-retryAfterLeast)*rand.Float64()))
+}
+
+// Release implements filter.Releaser.
+func (p *Placement) Release(g *filter.Grant, r filter.Report) {
+	now := p.Clock.Now()
+	s := g.Target
+	s.Load.End()
+	if r.Reason == verdict.ReasonConnectFailed {
+		s.Load.Shun(now.Add(shunTime))
+	}
+	if r.Load != nil {
+		s.Load.Observe(ReadingOf(r.Load, now))
+	}
+	if r.Reason == verdict.ReasonCallerGone {
+		return
+	}
+	ratio := 0.0
+	if r.Verdict == verdict.Ran && !r.Failed && g.Expected > 0 {
+		ratio = float64(r.ServiceTime) / float64(g.Expected)
+		g.Learn(r.ServiceTime)
+	}
+	s.Load.Note(now, r.Failed || r.Reason == verdict.ReasonShed, ratio)
+}
+
+// learner returns a function that takes the duration of a request's run. factor
+// is what its expected duration was as a multiple of the route's usual work.
+func (p *Placement) learner(x *filter.Exchange, factor float64) func(time.Duration) {
+	first := float64(x.Route.Objective) / firstWork
+	work := p.work.get(x.Route.Name)
+	return func(took time.Duration) { work.add(float64(took)/max(factor, 0.1), workWeight, first) }
+}
--- a/internal/filters/retry.go
+++ b/internal/filters/retry.go
@@ -34,12 +34,13 @@
 		} else {
 			out = combine(out, last)
 		}
-		if last.Verdict == verdict.Ran {
+		if last.Verdict == verdict.Ran && last.Reason != verdict.ReasonBackendError {
 			return out
 		}
 		wait, again := decideRetry(retryInput{
 			Verdict: last.Verdict, Reason: last.Reason, Idempotent: x.Route.Idempotent, Nested: x.Nested,
-			Allowed: x.Route.Retries, Done: done, Left: x.Deadline.Sub(f.Clock.Now()),
+			RetryErrors: x.Route.RetryErrors,
+			Allowed:     x.Route.Retries, Done: done, Left: x.Deadline.Sub(f.Clock.Now()),
 		}, random)
 		if !again {
 			return out
@@ -59,6 +60,9 @@
 // combine returns what is known of a request after two of its attempts. A later
 // attempt that was refused does not undo an earlier one that may have run.
 func combine(earlier, later filter.Outcome) filter.Outcome {
+	if earlier.Verdict == verdict.Ran && later.Verdict != verdict.Ran {
+		return earlier // the server's own failure says more than ours
+	}
 	if earlier.Verdict == verdict.MayHaveRun && later.Verdict == verdict.NotRun {
 		earlier.Cause = later.Cause
 		return earlier
--- a/internal/filters/retrypolicy.go
+++ b/internal/filters/retrypolicy.go
@@ -17,10 +17,12 @@
 	Verdict    verdict.Verdict // of the attempt before
 	Reason     verdict.Reason  // of the attempt before
 	Idempotent bool            // from the route
-	Nested     bool            // a level before this one may retry
-	Allowed    int             // retries of one request, from the route
-	Done       int             // retries of this request so far
-	Left       time.Duration   // until the request's deadline
+	// RetryErrors allows another attempt after the server's own error.
+	RetryErrors bool
+	Nested      bool          // a level before this one may retry
+	Allowed     int           // retries of one request, from the route
+	Done        int           // retries of this request so far
+	Left        time.Duration // until the request's deadline
 }
 
 // retryable are the reasons after which another attempt can have another
@@ -35,6 +37,9 @@
 	verdict.ReasonWriteFailed:   true,
 	verdict.ReasonAnswerCut:     true,
 	verdict.ReasonAnswerTimeout: true,
+	verdict.ReasonAnswerForeign: true,
+	verdict.ReasonMisdirected:   true,
+	verdict.ReasonBackendError:  true, // only of routes that ask for it
 }
 
 // unsent are the retryable reasons of attempts that ended before dispatch.
@@ -43,6 +48,7 @@
 	verdict.ReasonGrantLost:     true,
 	verdict.ReasonConnectFailed: true,
 	verdict.ReasonConnections:   true,
+	verdict.ReasonMisdirected:   true,
 }
 
 // decideRetry returns whether to try again and how long to wait before. A
@@ -51,7 +57,9 @@
 // along a call chain. The wait never reaches the deadline.
 func decideRetry(in retryInput, r *rand.Rand) (wait time.Duration, again bool) {
 	switch {
-	case in.Verdict == verdict.Ran || !retryable[in.Reason]:
+	case !retryable[in.Reason]:
+		return 0, false
+	case in.Verdict == verdict.Ran && (in.Reason != verdict.ReasonBackendError || !in.RetryErrors):
 		return 0, false
 	case in.Verdict != verdict.NotRun && !in.Idempotent:
 		return 0, false
--- a/internal/filters/route.go
+++ b/internal/filters/route.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
 
@@ -18,13 +20,37 @@
 func (Route) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
 	m := x.Snapshot.Manifest
 	if m == nil {
-		return filter.Refuse(verdict.ReasonNoRoute, nil)
+		return filter.Refuse(verdict.ReasonNoConfiguration, nil)
 	}
 	x.Route = m.Match(x.Request.Method, x.Request.Host, x.Request.Path)
 	if x.Route == nil {
 		return filter.Refuse(verdict.ReasonNoRoute, nil)
 	}
-	x.Service = m.Services[x.Route.Service]
-	shorten(x, x.Arrived.Add(time.Duration(x.Route.Deadline)))
+	x.Service = m.Services[serviceOf(x.Route)]
+	if x.Service == nil {
+		return filter.Refuse(verdict.ReasonNoBackend, nil)
+	}
+	if x.Route.Deadline > 0 {
+		shorten(x, x.Arrived.Add(time.Duration(x.Route.Deadline)))
+	}
 	return next.Handle(ctx, x)
 }
+
+// serviceOf returns the service of a request: that of the route, or one of the
+// parts of a split by weight. The choice holds for all attempts of the request.
+func serviceOf(r *manifest.Route) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	var total float64
+	for i := range r.Split {
+		total += r.Split[i].Weight
+	}
+	at := rand.Float64() * total
+	for i := range r.Split {
+		if at -= r.Split[i].Weight; at < 0 {
+			return r.Split[i].Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -47,10 +47,20 @@
 	EntryHosts  []EntryHost  `toml:"entry_hosts"` // initial list; the platform's host list is merged in
 	Services    []Service    `toml:"services"`
 	Routes      []Route      `toml:"routes"` // first match wins
+	Limits      Limits       `toml:"limits"` // what callers may send; zero values keep the settings' limits
 	Alerts      []AlertRule  `toml:"alerts"`
 	Dropped     []Dropped    `toml:"dropped"`
 }
 
+// Limits bound what a caller may send and how long it may take. A zero value
+// keeps the limit of the settings.
+type Limits struct {
+	HeaderBytes int      `toml:"header_bytes"`
+	BodyBytes   int      `toml:"body_bytes"`
+	HeaderTime  Duration `toml:"header_time"` // from the first byte of a request to the end of its header
+	IdleTime    Duration `toml:"idle_time"`   // of a connection between requests
+}
+
 // DataCentre is a site with backend servers and entry hosts.
 type DataCentre struct {
 	Name   string `toml:"name"`
@@ -76,6 +86,10 @@
 	QueueLength          int             `toml:"queue_length"`           // waiting requests per pool; default 64
 	HedgePercent         float64         `toml:"hedge_percent"`          // hedged share of idempotent requests; default 0 (off)
 	ConnectionsPerSecond float64         `toml:"connections_per_second"` // connections opened ahead, per backend server and entry host; default 5
+	HealthPath           string          `toml:"health_path"`            // answers with health and load; empty: not probed
+	ConnectionLimit      int             `toml:"connection_limit"`       // open connections of one backend server over the fleet; default: as listed with the server
+	ColdPerSecond        float64         `toml:"cold_per_second"`        // requests a second that a cold backend server bears; 0 means no limit
+	ColdTime             Duration        `toml:"cold_time"`              // how long a backend server is cold after its start
 	BackendServers       []BackendServer `toml:"backend_servers"`
 }
 
@@ -98,14 +112,23 @@
 	PathPrefix   string   `toml:"path_prefix"` // path prefix at a segment boundary; empty matches any
 	Methods      []string `toml:"methods"`     // empty matches any
 	Service      string   `toml:"service"`
+	Split        []Share  `toml:"split"`     // in place of service: several services by weight
+	Objective    Duration `toml:"objective"` // an answer within this time has its full worth; 0 means the deadline
 	Idempotent   bool     `toml:"idempotent"`
 	KeyRequired  bool     `toml:"key_required"`  // only for routes that are not idempotent
 	Priority     int      `toml:"priority"`      // 0 to 9; higher is served first; default 0
 	Deadline     Duration `toml:"deadline"`      // default 2s
 	Retries      int      `toml:"retries"`       // retries of one request; default 0
+	RetryErrors  bool     `toml:"retry_errors"`  // an idempotent request is sent again after a server error
 	RetryPercent float64  `toml:"retry_percent"` // retries as a share of the route's requests; default 10
 }
 
+// Share is one part of a route that is split over several services.
+type Share struct {
+	Service string  `toml:"service"`
+	Weight  float64 `toml:"weight"`
+}
+
 // AlertRule raises an alert on a counter.
 type AlertRule struct {
 	Name       string   `toml:"name"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,13 @@
 	LogLevel   string   `toml:"log_level"`   // debug, info, warn or error; default info
 	Plaintext  bool     `toml:"plaintext"`   // true: no TLS between entry hosts
 
+	// The next ones are used by hosts that are configured by a feed.
+	Mesh            string  `toml:"mesh"`             // IP:port for datagrams between entry hosts
+	Ready           string  `toml:"ready"`            // IP:port that the balancer asks for readiness
+	RetryRatio      float64 `toml:"retry_ratio"`      // repeated sends of a service as a share of its requests, over the fleet; default 0.2
+	RetrySlack      float64 `toml:"retry_slack"`      // repeated sends allowed beside that in 10 s, over the fleet; default 0
+	MemoryMegabytes int64   `toml:"memory_megabytes"` // memory of the host; 0 means no limit is set
+
 	CallerTLS TLS `toml:"caller_tls"` // empty: plain HTTP towards callers
 	PeerTLS   TLS `toml:"peer_tls"`   // required unless plaintext
 
@@ -81,7 +88,7 @@
 func Default() *Settings {
 	return &Settings{
 		LogLevel: "info", MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, MaxConnections: 4096,
-		IdleTimeout: seconds(60), ReadTimeout: seconds(10), Notice: seconds(3), StopBound: seconds(30),
+		RetryRatio: 0.2, IdleTimeout: seconds(60), ReadTimeout: seconds(10), Notice: seconds(3), StopBound: seconds(30),
 	}
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/load"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 )
 
@@ -19,6 +20,25 @@
 	Leases   *Leases            // owner: controller/leases; never nil
 	Pools    *Pools             // owner: controller/pools; never nil
 	Suspects *Suspects          // owner: controller/suspects; never nil
+	Servers  *Servers           // owner: controller/feeds; never nil, empty on hosts without a feed
+}
+
+// Server is a registered backend server. It is immutable except for Load.
+type Server struct {
+	manifest.BackendServer
+	Service   string
+	Born      int64      // identifies the process behind the name
+	Revision  uint64     // of the registration
+	ColdUntil clock.Time // end of the cold start as registered; 0 if it was warm
+	Local     bool       // in this host's data centre
+	Load      *load.State
+}
+
+// Servers are the registered backend servers.
+type Servers struct {
+	ByService map[string][]*Server // those that may receive new work, by name
+	ByName    map[string]*Server   // all of them
+	Out       map[string]bool      // data centres that receive no new work
 }
 
 // Member is one entry host as this process sees it.
@@ -118,6 +138,7 @@
 		Leases:   &Leases{Held: map[manifest.PoolID]*HeldLease{}, Holders: map[manifest.PoolID]string{}},
 		Pools:    &Pools{Load: map[manifest.PoolID]*atomic.Pointer[PoolLoad]{}},
 		Suspects: &Suspects{ByFingerprint: map[uint64]Suspect{}},
+		Servers:  &Servers{ByService: map[string][]*Server{}, ByName: map[string]*Server{}, Out: map[string]bool{}},
 	})
 	return s
 }
--- a/internal/verdict/decide.go
+++ b/internal/verdict/decide.go
@@ -14,6 +14,12 @@
 	AnswerComplete
 	// AnswerShed means that a complete answer carried the documented shed mark.
 	AnswerShed
+	// AnswerMisdirected means that another process has the address and refused
+	// the request unrun.
+	AnswerMisdirected
+	// AnswerForeign means that what arrived is not the server's answer to this
+	// request.
+	AnswerForeign
 )
 
 // Facts are the typed observations of one attempt on a backend server.
@@ -37,6 +43,10 @@
 		return Ran, ReasonNone
 	case AnswerShed:
 		return NotRun, ReasonShed
+	case AnswerMisdirected:
+		return NotRun, ReasonMisdirected
+	case AnswerForeign:
+		return MayHaveRun, ReasonAnswerForeign
 	case AnswerCut:
 		return MayHaveRun, ReasonAnswerCut
 	case AnswerTooLarge:
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -46,6 +46,11 @@
 	ReasonNotKept
 	ReasonHedge
 	ReasonConnections
+	ReasonMisdirected
+	ReasonAnswerForeign
+	ReasonNoConfiguration
+	ReasonHeaderTooLarge
+	ReasonRequestTimeout
 	NumReasons // number of reasons; not a reason
 )
 
@@ -96,6 +101,11 @@
 	ReasonNotKept:          {"not_kept", 502, "the order ran but its answer was too large to keep"},
 	ReasonHedge:            {"hedge", 200, "a second copy of an idempotent request was sent"},
 	ReasonConnections:      {"connections", 503, "this entry host's share of connections to the backend server is in use"},
+	ReasonMisdirected:      {"misdirected", 503, "another process has the address of the backend server"},
+	ReasonAnswerForeign:    {"answer_foreign", 502, "the answer belongs to another request or is not the backend server's"},
+	ReasonNoConfiguration:  {"no_configuration", 503, "this entry host knows no configuration yet"},
+	ReasonHeaderTooLarge:   {"header_too_large", 431, "the header exceeds its size limit"},
+	ReasonRequestTimeout:   {"request_timeout", 408, "the caller took too long to send the request"},
 }
 
 // String returns the name used in headers, counters and logs.
