Hold a removal back only after the platform answered no host

Hosts that were cut off told that the platform was away, and a host in touch took the removal of a leaving server for a lapse.

Change: hosts tell when the platform last answered any of them; it counts as away after 2.8 s without an answer to anyone (feed.Contact, TestHeldRemovals).

--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -95,12 +95,13 @@
 	// Read by other goroutines.
 	changed   atomic.Uint64
 	confirmed atomic.Int64 // clock.Time at which the replica was known complete; 0 is never
-	away      atomic.Int64 // clock.Time at which the platform was last seen failing; 0 is never
+	answered  atomic.Int64 // clock.Time of the platform's newest answer to any host known of; 0 is never
 	pulling   atomic.Bool
 	watching  atomic.Bool
 
 	// Used by Run's goroutine only.
 	replica   *feed.Replica
+	contact   feed.Contact
 	published *Published
 	servers   serverTable
 	retryAt   clock.Time
@@ -178,8 +179,7 @@
 		c.call(ctx, wg, c.read)
 		return
 	}
-	tried := c.since(&c.away, now) < feed.Alone
-	if feed.ShouldWatch(rank, c.since(&c.confirmed, now), true, tried) {
+	if feed.ShouldWatch(rank, c.since(&c.confirmed, now), true, c.contact.Away(now)) {
 		c.call(ctx, wg, c.watch)
 	}
 }
@@ -197,6 +197,9 @@
 func (c *Controller) called(ctx context.Context, wg *conc.WaitGroup, err error) {
 	c.watching.Store(false)
 	now := c.cfg.Clock.Now()
+	if err == nil || errors.Is(err, feed.ErrHistory) {
+		c.noteAnswer(now)
+	}
 	switch {
 	case err == nil:
 		if c.pause > 0 {
@@ -213,12 +216,17 @@
 		if c.pause == 0 {
 			c.log.Warn("The platform does not answer. Serving goes on with what is known.", zap.Error(err), zap.Uint64("revision", c.replica.Revision()))
 		}
-		c.away.Store(int64(now))
 		c.pause = min(max(2*c.pause, retryLeast), retryMost)
 		c.retryAt = now.Add(c.pause/2 + time.Duration(c.cfg.Rand.Int64N(int64(c.pause))))
 	}
 }
 
+// noteAnswer takes an answer of the platform at t, to this or another host.
+func (c *Controller) noteAnswer(t clock.Time) {
+	c.contact.Answered(t)
+	c.answered.Store(int64(c.contact.Last()))
+}
+
 func (c *Controller) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
@@ -228,6 +236,7 @@
 		return err
 	}
 	c.post(func() {
+		c.noteAnswer(c.cfg.Clock.Now())
 		c.replica.Replace(at, items)
 		c.confirm(asked)
 		c.publish()
@@ -254,6 +263,7 @@
 		return err
 	}
 	c.post(func() {
+		c.noteAnswer(c.cfg.Clock.Now())
 		if c.replica.Apply(after, to, events) {
 			c.confirm(max(asked, c.cfg.Clock.Now().Add(-feed.WatchWait)))
 			c.publish()
--- a/internal/controller/feeds/peers.go
+++ b/internal/controller/feeds/peers.go
@@ -26,8 +26,8 @@
 		return m
 	}
 	m.AgeMillis = ageMillis(c.since(&c.confirmed, now))
-	if c.away.Load() != 0 {
-		m.AwayMillis = ageMillis(c.since(&c.away, now))
+	if c.answered.Load() != 0 {
+		m.AnsweredMillis = ageMillis(c.since(&c.answered, now))
 	}
 	return m
 }
@@ -43,9 +43,10 @@
 	if b.Feed.Changed == 0 {
 		return
 	}
-	if b.Feed.AwayMillis > 0 {
-		if at := int64(now.Add(-time.Duration(b.Feed.AwayMillis) * time.Millisecond)); at > c.away.Load() {
-			c.away.Store(at)
+	if b.Feed.AnsweredMillis > 0 {
+		// Half a period later than known is no news worth a wake-up.
+		if at := now.Add(-time.Duration(b.Feed.AnsweredMillis) * time.Millisecond); at.Sub(clock.Time(c.answered.Load())) > period/2 {
+			c.post(func() { c.noteAnswer(at) })
 		}
 	}
 	if c.changed.Load() >= b.Feed.Changed {
--- a/internal/controller/feeds/servers.go
+++ b/internal/controller/feeds/servers.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -13,11 +12,6 @@
 	"github.com/anvilfront/anvilfront/internal/state"
 )
 
-// lapseGrace is how long after the platform was away the removal of a backend
-// server is held back. Registrations that lapsed meanwhile are back within about
-// two seconds of the platform's return.
-const lapseGrace = 2500 * time.Millisecond
-
 // serverTable holds the published servers and the removals that are held back.
 type serverTable struct {
 	byKey map[string]*state.Server
@@ -70,7 +64,7 @@
 
 func (c *Controller) mergeServers(now clock.Time, next *Published) {
 	t := &c.servers
-	away := c.away.Load()
+	until, hold := c.contact.HoldUntil(now)
 	for key, r := range next.Servers {
 		delete(t.held, key)
 		old := t.byKey[key]
@@ -86,8 +80,8 @@
 		if _, held := t.held[key]; held {
 			continue
 		}
-		if !s.Leaving && away != 0 && now.Sub(clock.Time(away)) < lapseGrace {
-			t.held[key] = clock.Time(away).Add(lapseGrace)
+		if !s.Leaving && hold {
+			t.held[key] = until
 			c.log.Info("A registration lapsed while the platform was away. Its removal is held back.", zap.String("server", s.Name))
 			continue
 		}
--- /dev/null
+++ b/internal/feed/contact_test.go
@@ -0,0 +1,37 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+)
+
+func at(ms int) clock.Time { return clock.Time(ms) * clock.Time(time.Millisecond) }
+
+// TestHeldRemovals guards against a live server that is taken for gone because
+// its registration lapsed while the platform was away, and against a server
+// that left and is kept because a single host had no contact.
+func TestHeldRemovals(t *testing.T) {
+	is := is.New(t)
+	var c Contact
+	for ms := 1000; ms <= 9000; ms += 2000 { // one watcher, nothing happens
+		c.Answered(at(ms))
+		_, held := c.HoldUntil(at(ms))
+		is.True(!held)
+	}
+	is.True(!c.Away(at(11000)))
+	is.True(c.Away(at(12000)))
+	c.Answered(at(13500)) // back after 4.5 s
+	until, held := c.HoldUntil(at(13500))
+	is.True(held)
+	is.Equal(until, at(16000))
+	c.Answered(at(9500)) // late news of an older answer
+	_, held = c.HoldUntil(at(15900))
+	is.True(held)
+	c.Answered(at(15500))
+	_, held = c.HoldUntil(at(16000))
+	is.True(!held) // still missing: gone
+}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -23,13 +23,6 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (to uint64, events []Item, err error)
 }
 
-// Freshness decides how far a replica can be trusted, from its own contact with
-// the platform and from what other hosts say of theirs. Times are this host's.
-type Freshness struct {
-	Confirmed time.Duration // since the replica was known to contain every change
-	Away      time.Duration // since the platform was last seen failing; negative if never
-}
-
 // Duties of watching the platform.
 const (
 	// TakeOver is the age of the newest confirmation after which the next host
--- a/internal/wire/beat.go
+++ b/internal/wire/beat.go
@@ -33,9 +33,11 @@
 
 // FeedMark says how far the sender's replica of the published items reaches.
 type FeedMark struct {
-	Changed    uint64 `cbor:"1,keyasint"`           // revision of the newest change it contains
-	AgeMillis  uint32 `cbor:"2,keyasint"`           // since it was known to contain every change
-	AwayMillis uint32 `cbor:"3,keyasint,omitempty"` // since the platform was last seen failing; 0 means not lately
+	Changed   uint64 `cbor:"1,keyasint"` // revision of the newest change it contains
+	AgeMillis uint32 `cbor:"2,keyasint"` // since it was known to contain every change
+	// AnsweredMillis is the time since the platform's newest answer to any host
+	// that the sender knows of; 0 means none.
+	AnsweredMillis uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Reading is what a backend server said of its load.
