Bound repeated sends of a service over the whole fleet

Change: where one budget holds for all hosts, a host saves up its part of the slack, at most 2.5; attempts that never left cost nothing.

--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -220,7 +220,9 @@
 		// Finds route and service.
 		filters.Route{},
 		// Repeats what follows, within the budget.
-		&filters.Retry{Clock: h.clock, Counters: h.counters},
+		&filters.Retry{Clock: h.clock, Counters: h.counters, Share: func() float64 {
+			return filters.ShareOfSlack(h.settings.RetrySlack, h.mesh.View().Size())
+		}},
 		// Chooses a backend server by expected completion.
 		h.placement,
 		// Sends the request, reads the answer and decides the verdict.
--- a/internal/filters/hedge.go
+++ b/internal/filters/hedge.go
@@ -57,7 +57,7 @@
 		return next.Handle(ctx, x)
 	}
 	h := f.hedges.get(x.Service.Name)
-	h.earn(x.Service.HedgePercent)
+	h.earn(x.Service.HedgePercent, budgetBurst)
 	start := f.Clock.Now()
 	out := f.race(ctx, x, next, h)
 	if out.Verdict == verdict.Ran {
--- a/internal/filters/retry.go
+++ b/internal/filters/retry.go
@@ -15,8 +15,12 @@
 type Retry struct {
 	Clock    clock.Clock
 	Counters *metrics.Counters
-	budgets  table[budget] // by route name
-	hedges   table[hedge]  // by service name
+	// Share returns how many repeated sends of a service this host may save up,
+	// where one budget of a service holds for all hosts. nil: budgets are per
+	// route and host.
+	Share   func() float64
+	budgets table[budget] // by route name, or by service name with Share
+	hedges  table[hedge]  // by service name
 }
 
 // Name implements filter.Filter.
@@ -24,8 +28,7 @@
 
 // Handle implements filter.Filter.
 func (f *Retry) Handle(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
-	b := f.budgets.get(x.Route.Name)
-	b.earn(x.Route.RetryPercent)
+	b := f.budget(x)
 	var out filter.Outcome
 	for done := 0; ; done++ {
 		last := f.attempt(ctx, x, next)
@@ -45,7 +48,7 @@
 		if !again {
 			return out
 		}
-		if !b.spend() {
+		if f.costs(last.Reason) && !b.spend() {
 			f.Counters.RetryDenied()
 			return out
 		}
@@ -57,6 +60,23 @@
 	}
 }
 
+// budget returns the budget of a request after the request has added to it.
+func (f *Retry) budget(x *filter.Exchange) *budget {
+	if f.Share == nil {
+		b := f.budgets.get(x.Route.Name)
+		b.earn(x.Route.RetryPercent, budgetBurst)
+		return b
+	}
+	b := f.budgets.get(x.Service.Name)
+	b.earn(x.Route.RetryPercent, f.Share())
+	return b
+}
+
+// costs reports whether a retry after the reason draws on the budget. Where the
+// budget bounds what arrives at backend servers, attempts that never left cost
+// nothing.
+func (f *Retry) costs(r verdict.Reason) bool { return f.Share == nil || !unsent[r] }
+
 // combine returns what is known of a request after two of its attempts. A later
 // attempt that was refused does not undo an earlier one that may have run.
 func combine(earlier, later filter.Outcome) filter.Outcome {
--- a/internal/filters/retry_test.go
+++ b/internal/filters/retry_test.go
@@ -248,3 +248,59 @@
 		is.Equal((<-done).Verdict, verdict.Ran)
 	})
 }
+
+// TestFleetBudget guards against repeated sends of many hosts that together
+// exceed the fleet's budget of a service in some ten seconds, whatever each host
+// knows of the others, and with hosts that join and restart.
+func TestFleetBudget(t *testing.T) {
+	const (
+		ratio, slack = 0.2, 60.0
+		window       = 10 * time.Second
+		step         = 50 * time.Millisecond
+	)
+	rapid.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		type host struct {
+			b     *budget
+			known int
+		}
+		hosts := make([]host, 16)
+		for i := range hosts {
+			hosts[i] = host{&budget{}, 1 + rng.IntN(16)} // any view, also a cut-off one
+		}
+		var requests, repeats []int // per step
+		sum := func(list []int, from, to int) (n int) {
+			for _, v := range list[max(from, 0):max(to, 0)] {
+				n += v
+			}
+			return n
+		}
+		for n := range 800 {
+			r, s := 0, 0
+			storm := n/200%2 == 1 // every host saves up, then all spend
+			for i := range hosts {
+				h := &hosts[i]
+				for range rng.IntN(3) {
+					r++
+					h.b.earn(100*ratio, ShareOfSlack(slack, h.known))
+				}
+				if storm && rng.IntN(10) == 0 {
+					for h.b.spend() {
+						s++
+					}
+				}
+				if rng.IntN(4000) == 0 {
+					*h = host{&budget{}, 1}
+				}
+			}
+			if len(hosts) < 20 && rng.IntN(200) == 0 {
+				hosts = append(hosts, host{&budget{}, 1})
+			}
+			requests, repeats = append(requests, r), append(repeats, s)
+			n, now := int(window/step), len(repeats)
+			if got, allowed := float64(sum(repeats, now-n, now)), ratio*float64(sum(requests, now-n, now))+slack; got > allowed {
+				rt.Fatalf("%v repeated sends in %v, %v allowed", got, window, allowed)
+			}
+		}
+	})
+}
--- a/internal/filters/retrypolicy.go
+++ b/internal/filters/retrypolicy.go
@@ -48,7 +48,6 @@
 	verdict.ReasonGrantLost:     true,
 	verdict.ReasonConnectFailed: true,
 	verdict.ReasonConnections:   true,
-	verdict.ReasonMisdirected:   true,
 }
 
 // decideRetry returns whether to try again and how long to wait before. A
