Follow a route's work as a median, apart from slow servers

Requests were refused where servers had room.

Change: work is the median of runs on servers with room and a recent reading; slowdown is measured against the reading alone; a request that will be late is sent where a server has room.

--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -31,8 +31,12 @@
 	// firstWork is the part of a route's objective that its work is taken to
 	// last until it was measured.
 	firstWork = 3
-	// workWeight is the weight of the newest observation in a route's work.
-	workWeight = 0.05
+	// workStep is the part by which one observation moves a route's work. The
+	// work is followed as a median, because a tenth of the runs take several
+	// times as long as their reading promised.
+	workStep = 0.02
+	// speedWeight is the weight of the newest reading in a service's mean speed.
+	speedWeight = 0.02
 	// retryAfterLeast and retryAfterMost bound, as parts of the objective, when
 	// a refused caller is told to come back. The spread keeps callers that were
 	// refused together from returning together.
@@ -77,6 +81,21 @@
 	a.bits.CompareAndSwap(old, math.Float64bits(mean+weight*(v-mean)))
 }
 
+// follow moves the value by a step towards v, so that it settles at the median.
+func (a *average) follow(v, otherwise float64) {
+	old := a.bits.Load()
+	median := otherwise
+	if old != 0 {
+		median = math.Float64frombits(old)
+	}
+	if v > median {
+		median *= 1 + workStep
+	} else {
+		median *= 1 - workStep
+	}
+	a.bits.CompareAndSwap(old, math.Float64bits(median))
+}
+
 // Name implements filter.Filter.
 func (*Placement) Name() string { return "placement" }
 
@@ -90,8 +109,8 @@
 	// The servers of now, not those of the request's snapshot: one that left
 	// since must not get a repetition.
 	servers := p.Store.Load().Servers.ByService[x.Service.Name]
-	choice := p.choose(servers, x, ask, now)
-	switch placement.Admit(choice, ask) {
+	choice, admission := placement.Admit(p.choose(servers, x, ask, now), ask)
+	switch admission {
 	case placement.TooLate:
 		return p.refuse(x, verdict.ReasonWontFinish, !choice.Found)
 	case placement.Crowded:
@@ -100,8 +119,11 @@
 	target := servers[choice.Index]
 	target.Load.Start()
 	x.Grant = &filter.Grant{
-		Server: &target.BackendServer, StartBy: now.Add(filter.GrantStart),
-		Target: target, Expected: choice.Finish, Learn: p.learner(x, float64(choice.Finish)/float64(ask.Work)),
+		Server: &target.BackendServer, StartBy: now.Add(filter.GrantStart), Target: target,
+		Expected: time.Duration(float64(choice.Finish) / choice.Slowdown),
+	}
+	if choice.Room && choice.Known {
+		x.Grant.Learn = p.learner(x, float64(x.Grant.Expected)/float64(ask.Work))
 	}
 	return next.Handle(ctx, x)
 }
@@ -144,8 +166,8 @@
 		}
 		best.Consider(i, c, ask, random)
 	}
-	if cold.Found && !best.Room && (!best.Found || cold.Finish < best.Finish) {
-		if servers[cold.Index].Load.Cold.Take(now, coldQuota(x.Service), coldWindow) {
+	if c := cold.Best; c.Found && !best.Roomy.Found && (!best.Best.Found || c.Finish < best.Best.Finish) {
+		if servers[c.Index].Load.Cold.Take(now, coldQuota(x.Service), coldWindow) {
 			return cold
 		}
 	}
@@ -194,6 +216,7 @@
 	}
 	if r.Load != nil {
 		s.Load.Observe(ReadingOf(r.Load, now))
+		p.speed.get(s.Service).add(r.Load.Speed, speedWeight, 1)
 	}
 	if r.Reason == verdict.ReasonCallerGone {
 		return
@@ -201,7 +224,9 @@
 	ratio := 0.0
 	if r.Verdict == verdict.Ran && !r.Failed && g.Expected > 0 {
 		ratio = float64(r.ServiceTime) / float64(g.Expected)
-		g.Learn(r.ServiceTime)
+		if g.Learn != nil {
+			g.Learn(r.ServiceTime)
+		}
 	}
 	s.Load.Note(now, r.Failed || r.Reason == verdict.ReasonShed, ratio)
 }
@@ -211,5 +236,5 @@
 func (p *Placement) learner(x *filter.Exchange, factor float64) func(time.Duration) {
 	first := float64(x.Route.Objective) / firstWork
 	work := p.work.get(x.Route.Name)
-	return func(took time.Duration) { work.add(float64(took)/max(factor, 0.1), workWeight, first) }
+	return func(took time.Duration) { work.follow(float64(took)/max(factor, 0.1), first) }
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -35,6 +35,9 @@
 	failureWeight = 0.25
 	// slowdownWeight is the weight of the newest observation in the slowdown.
 	slowdownWeight = 0.15
+	// slowdownSlack is the excess that readings of some age cause by themselves: a
+	// tenth of the runs took up to four times as long as their reading promised.
+	slowdownSlack = 0.4
 	// slowdownMemory is the time after which an observed slowdown counts for
 	// 1/e of its excess.
 	slowdownMemory = 4 * time.Second
@@ -135,7 +138,8 @@
 	Running   float64 // requests running, those of this host since the reading included
 	Waiting   float64
 	Slots     int
-	Speed     float64 // expected duration of work, as a multiple of the usual one
+	Speed     float64 // expected duration of work, as a multiple of the usual one, from what servers say
+	Slowdown  float64 // by how much requests took longer than that; 1 if they did not
 	Failure   float64 // share of requests that fail, 0 to 1
 	Age       time.Duration
 	Cold      bool
@@ -147,7 +151,7 @@
 // service, to which an old reading decays; slots is used when the server did
 // not say how many it has.
 func (s *State) Estimate(now clock.Time, usual float64, slots int) Estimate {
-	e := Estimate{Slots: slots, Speed: usual, Failure: s.failure.Load().now(now, failureMemory)}
+	e := Estimate{Slots: slots, Speed: usual, Slowdown: 1, Failure: s.failure.Load().now(now, failureMemory)}
 	own := float64(s.inflight.Load())
 	r := s.reading.Load()
 	if r == nil {
@@ -163,7 +167,7 @@
 	e.Running = max(float64(r.Running)+own-float64(r.own), own-e.Waiting, 0)
 	recent := math.Exp(-float64(max(e.Age, 0)) / float64(speedMemory))
 	e.Speed = r.Speed*recent + usual*(1-recent)
-	e.Speed *= max(0.5, 1+s.slowdown.Load().now(now, slowdownMemory))
+	e.Slowdown = max(1, 1+s.slowdown.Load().now(now, slowdownMemory)-slowdownSlack)
 	return e
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,16 +51,24 @@
 	Travel time.Duration // round trip beyond that of the own data centre
 }
 
-// Choice is the best server found so far. The zero value has none.
+// Option is one server that could be chosen. The zero value is none.
+type Option struct {
+	Index    int           // of the candidate, as given to Consider
+	Finish   time.Duration // expected, from now
+	Slowdown float64       // that Finish contains
+	Known    bool          // the server's load is known from a recent reading
+	Room     bool          // the server has a free slot and is not near full
+	Found    bool
+	score    float64
+}
+
+// Choice holds the best servers found so far. The zero value has none.
 type Choice struct {
-	Index  int           // of the candidate, as given to Consider
-	Finish time.Duration // expected, from now
-	Room   bool          // the server has a free slot and is not near full
-	Found  bool
-	score  float64
+	Best  Option // over all
+	Roomy Option // of those with room
 }
 
-// Consider compares a candidate with the best one so far.
+// Consider compares a candidate with the best ones so far.
 func (c *Choice) Consider(index int, s Candidate, ask Ask, r *rand.Rand) {
 	finish, room := Finish(s, ask.Work)
 	score := float64(finish) / (1 - min(s.Failure, maxFailure))
@@ -74,8 +82,15 @@
 		score += remoteShare * float64(ask.Objective)
 	}
 	score *= 1 + scatter*r.Float64()
-	if !c.Found || score < c.score {
-		*c = Choice{Index: index, Finish: finish, Room: room, Found: true, score: score}
+	o := Option{
+		Index: index, Finish: finish, Slowdown: max(s.Slowdown, 1), Room: room, Found: true, score: score,
+		Known: s.Known && s.Age <= recent,
+	}
+	if !c.Best.Found || score < c.Best.score {
+		c.Best = o
+	}
+	if room && (!c.Roomy.Found || score < c.Roomy.score) {
+		c.Roomy = o
 	}
 }
 
@@ -83,7 +98,7 @@
 // whether the server has room for it.
 func Finish(s Candidate, work time.Duration) (time.Duration, bool) {
 	slots := float64(max(s.Slots, 1))
-	w := float64(work) * s.Speed
+	w := float64(work) * s.Speed * max(s.Slowdown, 1)
 	busy := s.Running + 1
 	if busy > nearFull*slots {
 		w *= nearFullFactor
@@ -95,7 +110,7 @@
 	return time.Duration(wait+w) + s.Travel, busy <= nearFull*slots && s.Waiting == 0
 }
 
-// Verdict of an admission.
+// Admission is the decision on a request.
 type Admission uint8
 
 const (
@@ -107,17 +122,19 @@
 	Crowded
 )
 
-// Admit decides whether a request is sent to the chosen server. One that would
-// miss its objective is sent only where there is room: in a queue it would make
-// others miss theirs.
-func Admit(c Choice, ask Ask) Admission {
+// Admit decides whether a request is sent, and where. One that would miss its
+// objective is sent only to a server with room: in a queue it would make others
+// miss theirs.
+func Admit(c Choice, ask Ask) (Option, Admission) {
 	switch {
-	case !c.Found || c.Finish > ask.Left:
-		return TooLate
-	case c.Room:
-		return Send
-	case c.Finish > time.Duration(ask.Urgency*float64(ask.Objective)):
-		return Crowded
+	case !c.Best.Found:
+		return c.Best, TooLate
+	case c.Best.Finish <= min(time.Duration(ask.Urgency*float64(ask.Objective)), ask.Left):
+		return c.Best, Send
+	case c.Roomy.Found && c.Roomy.Finish <= ask.Left:
+		return c.Roomy, Send
+	case c.Best.Finish > ask.Left:
+		return c.Best, TooLate
 	}
-	return Send
+	return c.Best, Crowded
 }
