Send a second copy of an overdue idempotent request to a server with room

Change: when a run takes 1.6 times what was expected and a second one could still meet the objective, a copy goes to a server with room, within the fleet's budget of repeated sends; the slower one is cancelled.

--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -75,6 +75,7 @@
 	Forward  bool   // the request came from another entry host, which is not the owner of its key
 	Key      string // order key as sent by the caller, or ""
 	Pool     *manifest.Pool
+	Second   bool // a copy of a request that still runs elsewhere
 	Spill    bool // Pool is in another data centre because the own one is full
 	Grant    *Grant
 	Tried    []string // names of backend servers that were tried
--- a/internal/filters/hedge.go
+++ b/internal/filters/hedge.go
@@ -53,41 +53,80 @@
 // request that takes long, if the service allows hedging.
 func (f *Retry) attempt(ctx context.Context, x *filter.Exchange, next filter.Handler) filter.Outcome {
 	// A request that crashed a backend server gets one repetition, not two.
+	if f.Share != nil && x.Route.Idempotent && !x.Crashed && len(x.Tried) < x.Route.Retries {
+		after := func(g *filter.Grant) time.Duration { return f.hedgeAfter(x, g) }
+		return f.race(ctx, x, next, never, after, f.budgets.get(x.Service.Name).spend)
+	}
 	if x.Service.HedgePercent <= 0 || !x.Route.Idempotent || x.Nested || x.Crashed {
 		return next.Handle(ctx, x)
 	}
 	h := f.hedges.get(x.Service.Name)
 	h.earn(x.Service.HedgePercent, budgetBurst)
 	start := f.Clock.Now()
-	out := f.race(ctx, x, next, h)
+	out := f.race(ctx, x, next, h.wait(), func(*filter.Grant) time.Duration { return 0 }, func() bool {
+		return h.estimate.Load() != 0 && h.spend()
+	})
 	if out.Verdict == verdict.Ran {
 		h.observe(f.Clock.Now().Sub(start))
 	}
 	return out
 }
 
+// never is longer than any request runs.
+const never = time.Hour
+
+const (
+	// hedgeOverdue is the multiple of its expected time after which a request is
+	// taken to run on a server that became slow. Runs on fresh readings stay
+	// below it in nine of ten cases.
+	hedgeOverdue = 1.6
+	// hedgeChance is the multiple of the expected time that must be left of the
+	// objective for a second copy to be worth its load.
+	hedgeChance = 1.0
+)
+
+// hedgeAfter returns how long after dispatch a second copy is sent: when the
+// first is overdue and a second one could still meet the objective. 0 means
+// never.
+func (f *Retry) hedgeAfter(x *filter.Exchange, g *filter.Grant) time.Duration {
+	if g == nil || g.Expected <= 0 || x.Route.Objective <= 0 {
+		return 0
+	}
+	left := time.Duration(x.Route.Objective) - f.Clock.Now().Sub(x.Arrived)
+	overdue := time.Duration(hedgeOverdue * float64(g.Expected))
+	if left-overdue < time.Duration(hedgeChance*float64(g.Expected)) {
+		return 0
+	}
+	return overdue
+}
+
 type finish struct {
 	x   *filter.Exchange
 	out filter.Outcome
 }
 
-// race runs one copy, and a second one when the first takes long. The first
+// race runs one copy, and a second one when the first takes long: after wait, or
+// at the time after dispatch that after names, if allow agrees. The first
 // complete answer wins and the other copy is cancelled.
-func (f *Retry) race(ctx context.Context, x *filter.Exchange, next filter.Handler, h *hedge) filter.Outcome {
+func (f *Retry) race(ctx context.Context, x *filter.Exchange, next filter.Handler, wait time.Duration, after func(*filter.Grant) time.Duration, allow func() bool) filter.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan finish, 2)
 	var sentTo atomic.Pointer[string] // backend server of the first copy, once it is dispatched
+	dispatched := make(chan time.Duration, 1)
 	first := *x
 	first.BeforeDispatch = func() error {
 		sentTo.Store(&first.Grant.Server.Name)
+		if d := after(first.Grant); d > 0 {
+			dispatched <- d
+		}
 		if x.BeforeDispatch != nil {
 			return x.BeforeDispatch()
 		}
 		return nil
 	}
 	go runCopy(ctx, &first, next, results)
-	timer := time.NewTimer(h.wait())
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	running := 1
 	var last, earlier finish
@@ -104,13 +143,15 @@
 				x.Tried = last.x.Tried
 				return last.out
 			}
+		case d := <-dispatched:
+			timer.Reset(d)
 		case <-timer.C:
 			server := sentTo.Load()
-			if server == nil || h.estimate.Load() == 0 || !h.spend() {
+			if server == nil || !allow() {
 				continue
 			}
 			second := *x
-			second.Pool, second.Grant = nil, nil
+			second.Pool, second.Grant, second.Second = nil, nil, true
 			second.Tried = append(append([]string(nil), x.Tried...), *server)
 			f.Counters.Retry(verdict.ReasonHedge)
 			running++
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -41,6 +41,7 @@
 	Work      time.Duration // usual duration of its work
 	Objective time.Duration // left until the answer loses its worth
 	Left      time.Duration // left until the deadline
+	Spare     bool          // served from spare slots only, and only in time: the request runs elsewhere already
 	Urgency   float64       // 0 to 1; the share of the objective that its wait may use up
 }
 
@@ -127,6 +128,8 @@
 // miss theirs.
 func Admit(c Choice, ask Ask) (Option, Admission) {
 	switch {
+	case ask.Spare && (!c.Best.Room || c.Best.Finish > ask.Objective):
+		return c.Best, Crowded
 	case !c.Best.Found:
 		return c.Best, TooLate
 	case c.Best.Finish <= min(time.Duration(ask.Urgency*float64(ask.Objective)), ask.Left):
