Refuse what would be late while its caller can still come back

Change: a request that would miss its objective is refused at once with a time to come back, unless less than twice its objective is left until its deadline.

--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -137,7 +137,7 @@
 	return placement.Ask{
 		Work:      time.Duration(p.work.get(x.Route.Name).get(float64(objective) / firstWork)),
 		Objective: max(objective-now.Sub(x.Arrived), objective/4),
-		Left:      x.Deadline.Sub(now), Urgency: urgency, Spare: x.Second,
+		Whole:     objective, Left: x.Deadline.Sub(now), Urgency: urgency, Spare: x.Second,
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,6 +31,9 @@
 	// maxFailure bounds the failure rate in the expected time, so that a server
 	// that fails everything is still tried when all others are worse.
 	maxFailure = 0.95
+	// lastChance is the multiple of the objective that must be left until the
+	// deadline for a caller to come back in time for another try.
+	lastChance = 2
 	// recent is the age up to which a reading tells the occupancy of a server.
 	// It is five periods of measuring.
 	recent = 500 * time.Millisecond
@@ -40,6 +43,7 @@
 type Ask struct {
 	Work      time.Duration // usual duration of its work
 	Objective time.Duration // left until the answer loses its worth
+	Whole     time.Duration // the objective when the request arrived
 	Left      time.Duration // left until the deadline
 	Spare     bool          // served from spare slots only, and only in time: the request runs elsewhere already
 	Urgency   float64       // 0 to 1; the share of the objective that its wait may use up
@@ -124,8 +128,10 @@
 )
 
 // Admit decides whether a request is sent, and where. One that would miss its
-// objective is sent only to a server with room: in a queue it would make others
-// miss theirs.
+// objective is refused while its caller can still come back, since it would
+// hold a slot of a slow server for others that come when it is fast again.
+// Later it is sent to a server with room, but never into a queue, where it would
+// make others miss their objectives.
 func Admit(c Choice, ask Ask) (Option, Admission) {
 	switch {
 	case ask.Spare && (!c.Best.Room || c.Best.Finish > ask.Objective):
@@ -134,7 +140,7 @@
 		return c.Best, TooLate
 	case c.Best.Finish <= min(time.Duration(ask.Urgency*float64(ask.Objective)), ask.Left):
 		return c.Best, Send
-	case c.Roomy.Found && c.Roomy.Finish <= ask.Left:
+	case c.Roomy.Found && c.Roomy.Finish <= ask.Left && ask.Left < lastChance*ask.Whole:
 		return c.Roomy, Send
 	case c.Best.Finish > ask.Left:
 		return c.Best, TooLate
