Refuse requests that crash servers on hosts with a feed

Cause: nothing refused a request that crashes each server that runs it; the product's own rule takes any reset for a death, and the users' servers also reset connections when they are full.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -43,7 +43,8 @@
 // Codec translates between messages and exchanges. Its methods are called by
 // several goroutines and must copy what they keep of a message.
 type Codec interface {
-	// Decode returns the request, or an outcome that refuses it.
+	// Decode returns the request, never nil, and the outcome that refuses it if
+	// there is one.
 	Decode(raw *fasthttp.Request) (*filter.Request, *filter.Outcome)
 	// Encode writes the answer. r is nil when the request could not be read.
 	Encode(resp *fasthttp.Response, r *filter.Request, out *filter.Outcome)
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -23,6 +23,7 @@
 type conn struct {
 	server *Server
 	raw    net.Conn
+	caller string // IP address
 	r      *bufio.Reader
 	w      *bufio.Writer
 	ctx    context.Context // ends when the caller leaves
@@ -39,6 +40,9 @@
 	c := &conn{server: s, raw: raw, running: make(chan struct{}, maxPipelined)}
 	c.r = bufio.NewReaderSize(raw, max(minReader, s.limits().HeaderBytes))
 	c.w = bufio.NewWriter(raw)
+	if a, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
+		c.caller = a.IP.String()
+	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -114,6 +118,7 @@
 		}
 		_ = c.raw.SetReadDeadline(time.Time{})
 		r, refusal := c.server.Codec.Decode(req)
+		r.Caller = c.caller
 		end := req.ConnectionClose() || c.server.ending.Load()
 		alone := !req.Header.IsGet() && !req.Header.IsHead()
 		fasthttp.ReleaseRequest(req)
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -22,6 +22,7 @@
 	"github.com/anvilfront/anvilfront/internal/backend"
 	"github.com/anvilfront/anvilfront/internal/callers"
 	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/controller/crashes"
 	"github.com/anvilfront/anvilfront/internal/controller/feeds"
 	"github.com/anvilfront/anvilfront/internal/controller/measures"
 	"github.com/anvilfront/anvilfront/internal/controller/mesh"
@@ -75,6 +76,7 @@
 	mesh       *mesh.Controller
 	feeds      *feeds.Controller
 	measures   *measures.Controller
+	crashes    *crashes.Controller
 	placement  *filters.Placement
 	guard      *pause.Guard
 	peerClient *peer.Client
@@ -134,6 +136,10 @@
 	h.measures = measures.New(measures.Config{
 		Clock: h.clock, Store: h.store, Transport: h.transport, Mesh: h.mesh, Counters: h.counters, Log: h.log,
 	})
+	h.crashes = crashes.New(crashes.Config{
+		Clock: h.clock, Store: h.store, Self: h.mesh.View().Self.Address, Counters: h.counters, Log: h.log,
+	})
+	h.mesh.Add(h.crashes)
 	h.mesh.Add(h.feeds)
 	h.mesh.Add(h.measures)
 	h.placement = &filters.Placement{Clock: h.clock, Store: h.store, Cold: h.measures}
@@ -223,6 +229,8 @@
 		&filters.Retry{Clock: h.clock, Counters: h.counters, Share: func() float64 {
 			return filters.ShareOfSlack(h.settings.RetrySlack, h.mesh.View().Size())
 		}},
+		// Refuses requests that crash backend servers; judges each attempt.
+		&filters.Poison{Clock: h.clock, Store: h.store, Reporter: h.crashes, Confirmed: true},
 		// Chooses a backend server by expected completion.
 		h.placement,
 		// Sends the request, reads the answer and decides the verdict.
@@ -270,7 +278,7 @@
 	var wg conc.WaitGroup
 	wg.Go(h.peerServer.Serve)
 	for _, run := range []func(context.Context){
-		h.mesh.Run, h.feeds.Run, h.measures.Run, h.transport.Run, h.guard.Run, h.callers.Serve,
+		h.mesh.Run, h.feeds.Run, h.measures.Run, h.crashes.Run, h.transport.Run, h.guard.Run, h.callers.Serve,
 	} {
 		wg.Go(func() { h.guarded(running, run) })
 	}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -19,6 +19,7 @@
 // Request is a caller's request. All fields are copies that outlive the front end's handler.
 type Request struct {
 	ID      string // given by the caller, for logs; "" if none
+	Caller  string // IP address, where callers come with their own; else ""
 	Method  string
 	Host    string
 	Path    string // without the query string
--- a/internal/filters/poison.go
+++ b/internal/filters/poison.go
@@ -19,6 +19,10 @@
 	Clock    clock.Clock
 	Store    *state.Store // read again for each attempt: a crash is younger than the request's snapshot
 	Reporter filter.SuspectReporter
+	// Confirmed is set where the reporter confirms crashes by itself, because
+	// connections are reset for other reasons as well. A reset alone then stops
+	// no repetition.
+	Confirmed bool
 }
 
 // Name implements filter.Filter.
@@ -57,7 +61,7 @@
 // refuses decides from the suspects of now. The one repetition after a crash
 // passes, unless a second crash became known since.
 func (p *Poison) refuses(x *filter.Exchange) bool {
-	if x.Crashed && !x.CrashRetry {
+	if x.Crashed && !x.CrashRetry && !p.Confirmed {
 		return true
 	}
 	s, ok := p.Store.Load().Suspects.ByFingerprint[x.Fingerprint]
@@ -67,7 +71,8 @@
 	return !x.CrashRetry || s.Crashes > 1
 }
 
-// Fingerprint identifies a request by route, method, path, query and body. The
+// Fingerprint identifies a request by route, caller, method, path, query and
+// body. The
 // order key is left out: an order that is sent again under a fresh key would
 // otherwise crash one more backend server each time. It is never 0, which
 // stands for "not computed".
@@ -75,7 +80,7 @@
 	var d xxhash.Digest
 	d.Reset()
 	r := x.Request
-	for _, s := range [...]string{x.Route.Name, r.Method, r.Path, r.Query} {
+	for _, s := range [...]string{x.Route.Name, r.Caller, r.Method, r.Path, r.Query} {
 		writeSized(&d, s)
 	}
 	_, _ = d.Write(r.Body) // a hash does not fail
--- a/internal/wire/beat.go
+++ b/internal/wire/beat.go
@@ -19,7 +19,7 @@
 	Digest   bool      `cbor:"7,keyasint,omitempty"` // from another data centre; the receiver passes it on in its own
 	Relayed  bool      `cbor:"8,keyasint,omitempty"` // a digest that was passed on; From did not send it here itself
 	Hello    bool      `cbor:"9,keyasint,omitempty"` // asks for an answer with Peers
-	Suspects []Crash   `cbor:"10,keyasint,omitempty"`
+	Crashes  []Crash   `cbor:"10,keyasint,omitempty"`
 }
 
 // Peer is one entry host.
@@ -65,8 +65,10 @@
 // Crash is news of a request that crashed a backend server.
 type Crash struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
-	Server      uint32 `cbor:"2,keyasint"`
-	AgeMillis   uint32 `cbor:"3,keyasint,omitempty"`
+	Server      string `cbor:"2,keyasint"` // that died
+	Origin      string `cbor:"3,keyasint"` // address of the host that saw it
+	Sequence    uint64 `cbor:"4,keyasint"` // per origin
+	Count       int    `cbor:"5,keyasint"` // deaths known to the origin, this one included
 }
 
 // ServerKey is the short form of a backend server's name in beats (FNV-1a).
