Log what decided a failed request, and publish latency histograms

Cause: the log named reason and verdict of a request, not what they were decided on, and was written to standard error while the request waited.

Change: one line per request that was refused, failed or sent more than once, with id, route, version, age of the feed, servers tried, the best server and the reading behind the choice; lines go to standard output from a bounded queue (TestSlowLogReader); HDR histograms of added latency, service time and age of readings under latencies; gauges for the age of feed and roster.

--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = log.Sync() }()
 	if s.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMegabytes<<20)))
 	}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = log.Sync() }()
 	e, err := entryhost.New(s, log)
 	if err != nil {
 		return &exitError{ExitError, errors.Wrap(err, "start"), "see that the addresses in " + c.Settings + " belong to this host and are free"}
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -24,6 +24,7 @@
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/controller/crashes"
 	"github.com/anvilfront/anvilfront/internal/controller/feeds"
+	"github.com/anvilfront/anvilfront/internal/controller/latencies"
 	"github.com/anvilfront/anvilfront/internal/controller/measures"
 	"github.com/anvilfront/anvilfront/internal/controller/mesh"
 	"github.com/anvilfront/anvilfront/internal/controller/pause"
@@ -77,6 +78,7 @@
 	feeds      *feeds.Controller
 	measures   *measures.Controller
 	crashes    *crashes.Controller
+	latencies  *latencies.Controller
 	placement  *filters.Placement
 	guard      *pause.Guard
 	peerClient *peer.Client
@@ -99,6 +101,7 @@
 		stopping: filters.NewStopping(), broken: make(chan struct{}),
 	}
 	h.counters.AddProcess()
+	h.latencies = latencies.New(h.counters)
 	h.store = state.NewStore(state.Member{Name: s.Name, Address: s.Peer, DataCentre: s.DataCentre, Alive: true})
 	h.store.Beat(h.clock.Now())
 	if err := h.assemble(); err != nil {
@@ -203,6 +206,7 @@
 	if h.listeners.operator, err = net.Listen("tcp", s.Operator); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
+	h.publishGauges()
 	h.counters.Set("callers.active", expvar.Func(func() any { return h.callers.Active() }))
 	h.counters.Set("backend.connections", expvar.Func(func() any { return h.transport.Counts() }))
 	h.operator = operator.New(operator.Config{
@@ -241,25 +245,6 @@
 	)
 }
 
-// observe counts and logs a finished request.
-func (h *Host) observe(x *filter.Exchange, out *filter.Outcome) {
-	h.counters.Verdict(out.Verdict)
-	if out.Response != nil && out.Response.Status < 500 {
-		return
-	}
-	h.counters.Refusal(out.Reason)
-	if ce := h.log.Check(zap.InfoLevel, "requests: not served."); ce != nil {
-		fields := []zap.Field{zap.Stringer("reason", out.Reason), zap.Stringer("verdict", out.Verdict)}
-		if x.Request != nil {
-			fields = append(fields, zap.String("id", x.Request.ID), zap.Strings("tried", x.Tried), zap.Duration("took", h.clock.Now().Sub(x.Arrived)))
-		}
-		if out.Cause != nil {
-			fields = append(fields, zap.Error(out.Cause))
-		}
-		ce.Write(fields...)
-	}
-}
-
 // guarded runs a controller. A panic ends the host with a graceful stop, since
 // its state has no writer any more.
 func (h *Host) guarded(ctx context.Context, run func(context.Context)) {
@@ -278,7 +263,7 @@
 	var wg conc.WaitGroup
 	wg.Go(h.peerServer.Serve)
 	for _, run := range []func(context.Context){
-		h.mesh.Run, h.feeds.Run, h.measures.Run, h.crashes.Run, h.transport.Run, h.guard.Run, h.callers.Serve,
+		h.mesh.Run, h.feeds.Run, h.measures.Run, h.crashes.Run, h.latencies.Run, h.transport.Run, h.guard.Run, h.callers.Serve,
 	} {
 		wg.Go(func() { h.guarded(running, run) })
 	}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -79,6 +79,7 @@
 	Second   bool // a copy of a request that still runs elsewhere
 	Spill    bool // Pool is in another data centre because the own one is full
 	Grant    *Grant
+	Basis    Basis    // what the last placement was decided on; for logs
 	Tried    []string // names of backend servers that were tried
 	// BeforeDispatch, when set, runs right before the first byte may leave. An
 	// error stops the attempt unsent. The orderkey filter records the key here.
@@ -96,6 +97,16 @@
 	KeyBound bool
 }
 
+// Basis is what a placement was decided on. The zero value means that no server
+// could be chosen.
+type Basis struct {
+	Server           string        // the best one found
+	Expected         time.Duration // until it would have finished the request
+	Running, Waiting float64       // requests there, as believed
+	Speed            float64       // duration of work there as a multiple of the usual one
+	Age              time.Duration // of the reading
+}
+
 // Outcome is the result of a request or of one attempt.
 type Outcome struct {
 	Verdict  verdict.Verdict
@@ -106,7 +117,9 @@
 	// RetryAfter is when a caller that was refused should come back; 0 means the
 	// front end's default.
 	RetryAfter time.Duration
-	Crashed    bool // the backend server closed or reset the connection while the request ran
+	// Served is how long the answering attempt took at its backend server.
+	Served  time.Duration
+	Crashed bool // the backend server closed or reset the connection while the request ran
 }
 
 // Refuse returns the outcome of a request that did not run.
--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -62,7 +62,7 @@
 	}
 	released = true
 	d.Admitter.Release(g, report(v, reason, &res))
-	out := filter.Outcome{Verdict: v, Reason: reason, Cause: res.Err, Crashed: crashed(v, reason, &res)}
+	out := filter.Outcome{Verdict: v, Reason: reason, Cause: res.Err, Served: res.ServiceTime, Crashed: crashed(v, reason, &res)}
 	if v == verdict.Ran {
 		out.Response = res.Response
 		if x.Route.RetryErrors && res.Response.Status >= 500 {
--- a/internal/filters/hedge.go
+++ b/internal/filters/hedge.go
@@ -140,7 +140,7 @@
 			running--
 			x.Crashed, x.CrashRetry = x.Crashed || last.x.Crashed, x.CrashRetry || last.x.CrashRetry
 			if last.out.Verdict == verdict.Ran {
-				x.Tried = last.x.Tried
+				x.Tried, x.Basis = last.x.Tried, last.x.Basis
 				return last.out
 			}
 		case d := <-dispatched:
@@ -158,7 +158,7 @@
 			go runCopy(ctx, &second, next, results)
 		}
 	}
-	x.Tried = last.x.Tried
+	x.Tried, x.Basis = last.x.Tried, last.x.Basis
 	return last.out
 }
 
--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -110,6 +110,11 @@
 	// since must not get a repetition.
 	servers := p.Store.Load().Servers.ByService[x.Service.Name]
 	choice, admission := placement.Admit(p.choose(servers, x, ask, now), ask)
+	x.Basis = filter.Basis{}
+	if choice.Found {
+		l := &choice.Load
+		x.Basis = filter.Basis{Server: servers[choice.Index].Name, Expected: choice.Finish, Running: l.Running, Waiting: l.Waiting, Speed: l.Speed, Age: l.Age}
+	}
 	switch admission {
 	case placement.TooLate:
 		return p.refuse(x, verdict.ReasonWontFinish, !choice.Found)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -64,6 +64,7 @@
 	Known    bool          // the server's load is known from a recent reading
 	Room     bool          // the server has a free slot and is not near full
 	Found    bool
+	Load     load.Estimate // that it was decided on
 	score    float64
 }
 
@@ -88,7 +89,7 @@
 	}
 	score *= 1 + scatter*r.Float64()
 	o := Option{
-		Index: index, Finish: finish, Slowdown: max(s.Slowdown, 1), Room: room, Found: true, score: score,
+		Index: index, Finish: finish, Load: s.Estimate, Slowdown: max(s.Slowdown, 1), Room: room, Found: true, score: score,
 		Known: s.Known && s.Age <= recent,
 	}
 	if !c.Best.Found || score < c.Best.score {
