--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -17,7 +17,7 @@
 
 func operatorsPage(t *testing.T) string {
 	t.Helper()
-	raw, err := os.ReadFile("../../docs/operators.md")
+	raw, err := os.ReadFile("../../docs/OPERATIONS.md")
 	is.New(t).NoErr(err)
 	return string(raw)
 }
--- a/internal/cli/live_test.go
+++ b/internal/cli/live_test.go
@@ -13,7 +13,8 @@
 )
 
 // TestPageCommandsRun guards against commands of the operators' page that fail
-// against a running entry host. serve is run by the process tests.
+// against a running entry host. serve is run by the process tests, entry by
+// TestEntryCommand.
 func TestPageCommandsRun(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
@@ -25,7 +26,7 @@
 	run := 0
 	for _, l := range strings.Split(operatorsPage(t), "\n") {
 		command, ok := strings.CutPrefix(strings.TrimSpace(l), "anvilfront ")
-		if !ok || !strings.HasPrefix(l, "    ") || strings.HasPrefix(command, "serve") {
+		if !ok || !strings.HasPrefix(l, "    ") || strings.HasPrefix(command, "serve") || strings.HasPrefix(command, "entry") {
 			continue
 		}
 		command = strings.ReplaceAll(command, "127.0.0.1:9001", f.Host(0).OperatorAddress())
--- a/internal/settings/logsink.go
+++ b/internal/settings/logsink.go
@@ -3,6 +3,9 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // sinkLines bounds the log lines that wait for a reader that is slow.
@@ -46,10 +49,27 @@
 	return len(line), nil
 }
 
-// Sync implements zapcore.WriteSyncer. It waits until the lines are written.
+// syncTime bounds Sync, so that a reader that stopped reading does not keep a
+// process from ending.
+const syncTime = 200 * time.Millisecond
+
+// Sync implements zapcore.WriteSyncer. It waits until the lines are written, or
+// until syncTime is over.
 func (s *sink) Sync() error {
+	timer := time.NewTimer(syncTime)
+	defer timer.Stop()
 	done := make(chan struct{})
-	s.flushed <- done
-	<-done
-	return nil
+	select {
+	case s.flushed <- done:
+	case <-timer.C:
+		return errSlowReader
+	}
+	select {
+	case <-done:
+		return nil
+	case <-timer.C:
+		return errSlowReader
+	}
 }
+
+var errSlowReader = errors.New("log: the reader is too slow; lines are lost")
