Refuse new requests at the end of a stop, and forget readings after a pause

Besides, a host that was frozen or suspended acted on the load it had known before, and bodies of callers had a bound each but none together.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -59,8 +59,9 @@
 	Clock          clock.Clock
 	Counters       *metrics.Counters
 	Log            *zap.Logger
-	MaxConnections int // connections beyond it are closed unread
-	MaxBodyBytes   int // largest body whatever the configuration allows, since bodies are held in memory
+	MaxConnections int   // connections beyond it are closed unread
+	MaxHeldBytes   int64 // bodies of all requests together; more are refused unread
+	MaxBodyBytes   int   // largest body whatever the configuration allows, since bodies are held in memory
 	// Observe hears of each finished request. It must not block.
 	Observe func(x *filter.Exchange, out *filter.Outcome)
 }
@@ -70,8 +71,9 @@
 	Config
 	open     atomic.Int64
 	active   atomic.Int64
-	ending   atomic.Bool // each answer ends its connection
-	draining atomic.Bool // idle connections are closed as well
+	held     atomic.Int64 // bytes of bodies in memory
+	ending   atomic.Bool  // each answer ends its connection
+	draining atomic.Bool  // idle connections are closed as well
 
 	mu    sync.Mutex // guards conns; taken once per connection, not per request
 	conns map[*conn]struct{}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -184,6 +184,9 @@
 				return refusal(verdict.ReasonCallerGone, werr)
 			}
 		}
+		if c.server.held.Load()+int64(req.Header.ContentLength()) > c.server.MaxHeldBytes {
+			return refusal(verdict.ReasonOverload, nil)
+		}
 		err = req.ContinueReadBody(c.r, limits.BodyBytes, false)
 	}
 	if err == nil {
@@ -217,10 +220,16 @@
 // without the chain; end when the connection ends after its answer.
 func (c *conn) start(r *filter.Request, refused *filter.Outcome, end bool) {
 	before, done, number := c.last, make(chan struct{}), c.newest.Load()
+	size := int64(0)
+	if r != nil {
+		size = int64(len(r.Body))
+	}
+	c.server.held.Add(size)
 	c.last = done
 	c.server.active.Add(1)
 	go func() {
 		defer c.server.active.Add(-1)
+		defer c.server.held.Add(-size)
 		defer func() {
 			close(done)
 			if end {
--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -272,6 +272,42 @@
 	return nil
 }
 
+// Refresh asks the platform once for changes, as after a pause of the process.
+// It returns when they are applied or ctx ends.
+func (c *Controller) Refresh(ctx context.Context) {
+	done := make(chan struct{})
+	if !c.post(func() {
+		after := c.replica.Revision()
+		go func() {
+			defer close(done)
+			to, events, err := c.cfg.Source.Watch(ctx, after, 0)
+			if err != nil {
+				c.log.Info("No news after a pause. Serving goes on with what is known.", zap.Error(err))
+				return
+			}
+			applied := make(chan struct{})
+			asked := c.cfg.Clock.Now()
+			if c.post(func() {
+				defer close(applied)
+				c.noteAnswer(asked)
+				if c.replica.Apply(after, to, events) {
+					c.confirm(asked)
+					c.publish()
+				}
+			}) {
+				<-applied
+			}
+		}()
+	}) {
+		return
+	}
+	c.calls.Add(1)
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // confirm notes that the replica contained every change at t.
 func (c *Controller) confirm(t clock.Time) {
 	if int64(t) > c.confirmed.Load() {
--- a/internal/controller/pause/pause.go
+++ b/internal/controller/pause/pause.go
@@ -24,11 +24,15 @@
 
 // Guard beats and re-syncs after a pause.
 type Guard struct {
-	Clock    clock.Clock
-	Store    *state.Store
-	Resync   func(ctx context.Context) // brings the state up to date
-	Counters *metrics.Counters
-	Log      *zap.Logger
+	Clock  clock.Clock
+	Store  *state.Store
+	Resync func(ctx context.Context) // brings the state up to date
+	// Suspended returns how long the whole machine was suspended since its start,
+	// which the clock does not count. nil: not watched.
+	Suspended func() time.Duration
+	suspended time.Duration
+	Counters  *metrics.Counters
+	Log       *zap.Logger
 }
 
 // Fresh reports whether the process ran without a pause and the state is up to
@@ -42,6 +46,9 @@
 func (g *Guard) Run(ctx context.Context) {
 	pauses := g.Counters.Int("pauses")
 	g.Store.Beat(g.Clock.Now())
+	if g.Suspended != nil {
+		g.suspended = g.Suspended()
+	}
 	ticker := time.NewTicker(beat)
 	defer ticker.Stop()
 	var wg conc.WaitGroup
@@ -85,6 +92,11 @@
 func (g *Guard) step(pauses *expvar.Int) bool {
 	now := g.Clock.Now()
 	gap := now.Sub(g.Store.LastBeat())
+	if g.Suspended != nil {
+		total := g.Suspended()
+		gap += total - g.suspended
+		g.suspended = total
+	}
 	if gap > Gap {
 		g.Store.SetStale(true)
 		pauses.Add(1)
--- a/internal/controller/pause/pause_test.go
+++ b/internal/controller/pause/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,3 +66,31 @@
 		<-done
 	})
 }
+
+// TestSuspended guards against a host that takes a suspended machine for no
+// time at all, because its clock stood still meanwhile.
+func TestSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clk := clock.NewMonotonic()
+		store := state.NewStore(state.Member{Name: "eh1"})
+		var suspended atomic.Int64
+		var calls atomic.Int64
+		g := &Guard{
+			Clock: clk, Store: store, Counters: metrics.New(), Log: zap.NewNop(),
+			Resync:    func(context.Context) { calls.Add(1) },
+			Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+		}
+		suspended.Store(int64(time.Hour)) // before the start of the process
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); g.Run(ctx) }()
+		time.Sleep(time.Second)
+		is.Equal(calls.Load(), int64(0))
+		suspended.Add(int64(3 * time.Second))
+		time.Sleep(time.Second)
+		is.Equal(calls.Load(), int64(1))
+		cancel()
+		<-done
+	})
+}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -131,3 +131,15 @@
 	is.True(!full)
 	is.Equal(len(recent), 3)
 }
+
+// TestLateEvents guards against an answer that was overtaken and brings back an
+// item that was removed since.
+func TestLateEvents(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	r.Replace(3, nil)
+	r.Apply(3, 9, []Item{{Key: "a", Revision: 4}, {Key: "a", Revision: 8, Gone: true}})
+	r.Apply(3, 6, []Item{{Key: "a", Revision: 4}})
+	_, ok := r.Get("a")
+	is.True(!ok)
+}
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -42,6 +42,9 @@
 const (
 	// maxBodyBytes bounds bodies, which are held in memory until they are sent.
 	maxBodyBytes = 8 << 20
+	// maxHeldBytes bounds the bodies of all requests in memory: a third of what the
+	// smallest hosts (184 MB) have, since each is copied once on its way.
+	maxHeldBytes = 32 << 20
 	// maxCallers bounds callers' connections; the smallest hosts have 4,100
 	// descriptors, of which backend servers take most of the rest.
 	maxCallers = 2500
@@ -146,7 +149,7 @@
 	h.mesh.Add(h.feeds)
 	h.mesh.Add(h.measures)
 	h.placement = &filters.Placement{Clock: h.clock, Store: h.store, Cold: h.measures}
-	h.guard = &pause.Guard{Clock: h.clock, Store: h.store, Resync: func(context.Context) {}, Counters: h.counters, Log: h.log.Named("pause")}
+	h.guard = &pause.Guard{Clock: h.clock, Store: h.store, Resync: h.resync, Suspended: clock.Suspended, Counters: h.counters, Log: h.log.Named("pause")}
 	return h.assembleListeners()
 }
 
@@ -197,7 +200,7 @@
 	}
 	h.callers = callers.New(callers.Config{
 		Listener: front, Codec: h.adapter.Codec, Chain: h.chain(), Store: h.store, Clock: h.clock, Counters: h.counters,
-		Log: h.log.Named("callers"), MaxConnections: maxCallers, MaxBodyBytes: maxBodyBytes, Observe: h.observe,
+		Log: h.log.Named("callers"), MaxConnections: maxCallers, MaxBodyBytes: maxBodyBytes, MaxHeldBytes: maxHeldBytes, Observe: h.observe,
 	})
 	if h.listeners.ready, err = net.Listen("tcp", s.Ready); err != nil {
 		return errors.Wrap(err, "listen for readiness")
@@ -240,7 +243,7 @@
 		// Sends the request, reads the answer and decides the verdict.
 		&filters.Dispatch{
 			Clock: h.clock, Admitter: h.placement, Transport: h.transport, Store: h.store,
-			Fresh: func() bool { return true },
+			Fresh: func() bool { return pause.Fresh(h.store, h.clock.Now()) },
 		},
 	)
 }
@@ -276,15 +279,35 @@
 	}
 	h.stop()
 	end()
+	h.close()
+	wg.Wait()
 	if p := h.fault.Load(); p != nil {
 		return errors.Wrap(p.AsError(), "controller")
 	}
 	return nil
 }
 
+// resync brings a host that did not run for a while up to date: the load that it
+// knew is of another time, and the feed may have moved on.
+func (h *Host) resync(ctx context.Context) {
+	for _, s := range h.store.Load().Servers.ByName {
+		s.Load.Forget()
+	}
+	h.feeds.Refresh(ctx)
+}
+
+// close ends what stop left running.
+func (h *Host) close() {
+	_ = h.listeners.ready.Close()
+	_ = h.listeners.operator.Close()
+	h.callers.Close()
+	h.peerServer.Close()
+	h.peerClient.Close()
+}
+
 // stop takes the host out of the balancer, serves on until the balancer has
-// noticed, ends connections as their answers are written, and returns when no
-// request is left or the stop bound is near.
+// noticed, ends connections as their answers are written, then refuses new
+// requests, and returns when none is left or the stop bound is near.
 func (h *Host) stop() {
 	start := h.clock.Now()
 	h.leaving.Store(true)
@@ -296,6 +319,9 @@
 	notice := time.NewTimer(time.Duration(h.settings.Notice))
 	defer notice.Stop()
 	<-notice.C
+	// The balancer has noticed: who still comes is told to go elsewhere, since a
+	// request that is taken now may outlast the stop.
+	h.stopping.Stop()
 	h.callers.Drain()
 	for h.callers.Idle(bound) {
 		quiet := time.NewTimer(settle)
--- a/internal/settings/logsink_test.go
+++ b/internal/settings/logsink_test.go
@@ -19,7 +19,7 @@
 		is.NoErr(err)
 	}
 	is.True(s.dropped.Load() >= 98) // one is with the writer, one may be on its way
-	is.True(s.Sync() != nil) // bounded: a process ends although nobody reads
+	is.True(s.Sync() != nil)        // bounded: a process ends although nobody reads
 	go func() { _, _ = io.Copy(io.Discard, r) }()
 	is.NoErr(s.Sync())
 	var out bytes.Buffer
