--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -37,6 +37,9 @@
 	// retryLeast and retryMost bound the pause after a failed call to the
 	// platform; a refused call is paid like any other.
 	retryLeast, retryMost = 250 * time.Millisecond, 1500 * time.Millisecond
+	// gather is the pause after a watch that brought changes. Servers register in
+	// groups, and each further change would cost every watcher a call.
+	gather = 200 * time.Millisecond
 	// firstRead is how long a new process waits for another host's replica
 	// before it reads the platform, unless it has the duty anyway.
 	firstRead = 600 * time.Millisecond
@@ -106,6 +109,7 @@
 	servers   serverTable
 	retryAt   clock.Time
 	pause     time.Duration
+	news      bool // the last watch brought changes
 
 	calls, failed, pulls, dropped *expvar.Int
 }
@@ -206,6 +210,10 @@
 			c.log.Info("The platform answers again.")
 		}
 		c.pause, c.retryAt = 0, 0
+		if c.news {
+			c.news, c.retryAt = false, now.Add(gather)
+			return
+		}
 		c.duties(ctx, wg)
 	case errors.Is(err, feed.ErrHistory):
 		c.log.Info("The platform dropped the history. The content is read again.", zap.Uint64("revision", c.replica.Revision()))
@@ -264,6 +272,7 @@
 	}
 	c.post(func() {
 		c.noteAnswer(c.cfg.Clock.Now())
+		c.news = len(events) > 0
 		if c.replica.Apply(after, to, events) {
 			c.confirm(max(asked, c.cfg.Clock.Now().Add(-feed.WatchWait)))
 			c.publish()
