Read the new parts once more: waits, names, checked settings

Cause: a poll during the stop, a receive error that could spin, goroutines beside conc, fields of one host with two widths, log prefixes in the text of the message, settings of the new command that nothing checked.

Change: the stop waits on a channel; a receive error pauses; background calls run under conc; the checker refuses bad mesh, ready, retry_ratio, retry_slack and memory, the command names what is missing.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -74,6 +74,8 @@
 	held     atomic.Int64 // bytes of bodies in memory
 	ending   atomic.Bool  // each answer ends its connection
 	draining atomic.Bool  // idle connections are closed as well
+	once     sync.Once
+	idle     chan struct{} // closed when the last request was answered after Drain
 
 	mu    sync.Mutex // guards conns; taken once per connection, not per request
 	conns map[*conn]struct{}
@@ -81,7 +83,9 @@
 }
 
 // New returns a server. Serve comes next.
-func New(c Config) *Server { return &Server{Config: c, conns: map[*conn]struct{}{}} }
+func New(c Config) *Server {
+	return &Server{Config: c, conns: map[*conn]struct{}{}, idle: make(chan struct{})}
+}
 
 // Active returns the requests that were read and are not answered yet.
 func (s *Server) Active() int64 { return s.active.Load() }
@@ -125,6 +129,9 @@
 func (s *Server) Drain() {
 	s.ending.Store(true)
 	s.draining.Store(true)
+	if s.active.Load() == 0 {
+		s.once.Do(func() { close(s.idle) })
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -132,22 +139,23 @@
 	}
 }
 
-// Idle waits until no request is being answered, or ctx ends.
+// Idle waits after Drain until no request is being answered, or ctx ends.
 func (s *Server) Idle(ctx context.Context) bool {
-	ticker := time.NewTicker(idlePeriod)
-	defer ticker.Stop()
-	for s.active.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
+	select {
+	case <-s.idle:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return true
 }
 
-// idlePeriod is how often Idle looks, during a stop only.
-const idlePeriod = 20 * time.Millisecond
+// answered counts down. It does so before it reads the mark, and Drain sets the
+// mark before it reads the count, so that one of them sees the last answer.
+func (s *Server) answered() {
+	if s.active.Add(-1) == 0 && s.draining.Load() {
+		s.once.Do(func() { close(s.idle) })
+	}
+}
 
 // Close ends every connection.
 func (s *Server) Close() {
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -228,7 +228,7 @@
 	c.last = done
 	c.server.active.Add(1)
 	go func() {
-		defer c.server.active.Add(-1)
+		defer c.server.answered()
 		defer c.server.held.Add(-size)
 		defer func() {
 			close(done)
--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -103,13 +103,14 @@
 	watching  atomic.Bool
 
 	// Used by Run's goroutine only.
-	replica   *feed.Replica
-	contact   feed.Contact
-	published *Published
-	servers   serverTable
-	retryAt   clock.Time
-	pause     time.Duration
-	news      bool // the last watch brought changes
+	replica    *feed.Replica
+	contact    feed.Contact
+	published  *Published
+	background conc.WaitGroup // calls to peers and the platform beside Run
+	servers    serverTable
+	retryAt    clock.Time
+	pause      time.Duration
+	news       bool // the last watch brought changes
 
 	calls, failed, pulls, dropped *expvar.Int
 }
@@ -287,7 +288,7 @@
 	done := make(chan struct{})
 	if !c.post(func() {
 		after := c.replica.Revision()
-		go func() {
+		c.background.Go(func() {
 			defer close(done)
 			to, events, err := c.cfg.Source.Watch(ctx, after, 0)
 			if err != nil {
@@ -306,7 +307,7 @@
 			}) {
 				<-applied
 			}
-		}()
+		})
 	}) {
 		return
 	}
--- a/internal/controller/feeds/peers.go
+++ b/internal/controller/feeds/peers.go
@@ -60,10 +60,10 @@
 	}
 	from := b.From.Address
 	age := time.Duration(b.Feed.AgeMillis) * time.Millisecond
-	go func() {
+	c.background.Go(func() {
 		defer c.pulling.Store(false)
 		c.pull(from, now.Add(-age))
-	}()
+	})
 }
 
 // pull takes changes from another host.
--- a/internal/controller/mesh/mesh.go
+++ b/internal/controller/mesh/mesh.go
@@ -81,7 +81,6 @@
 	nextDigest clock.Time
 	nextSeed   clock.Time
 	nextView   clock.Time
-	last       *roster.View
 	sent       *expvar.Int
 	sentBytes  *expvar.Int
 	farBytes   *expvar.Int
@@ -143,8 +142,13 @@
 			if ctx.Err() != nil {
 				return
 			}
-			// An ICMP error of an earlier send; the next read goes on.
-			c.log.Debug("Receive failed.", zap.Error(err))
+			c.log.Warn("Receive failed.", zap.Error(err))
+			pause := time.NewTimer(viewPeriod) // an error that stays must not spin
+			select {
+			case <-pause.C:
+			case <-ctx.Done():
+				pause.Stop()
+			}
 		}
 	}
 }
@@ -177,12 +181,12 @@
 		p.Heard(now, b)
 	}
 	if b.Digest && !b.Relayed {
-		c.relay(now, b)
+		c.relay(b)
 	}
 }
 
 // relay passes a digest of another data centre on to the hosts of the own one.
-func (c *Controller) relay(now clock.Time, b *wire.Beat) {
+func (c *Controller) relay(b *wire.Beat) {
 	b.Relayed, b.Hello = true, false
 	raw, err := wire.EncodeBeat(b)
 	if err != nil {
@@ -191,7 +195,6 @@
 	for _, h := range c.view.Load().Local {
 		c.write(h, raw)
 	}
-	_ = now
 }
 
 // tick sends what is due and publishes the view.
@@ -217,6 +220,8 @@
 	}
 }
 
+// viewPeriod is how often the view is published: a seventh of the silence after
+// which a host of the data centre counts as gone.
 const viewPeriod = 100 * time.Millisecond
 
 func (c *Controller) publish(now clock.Time) {
@@ -371,13 +376,13 @@
 
 func fromWire(p wire.Peer, now clock.Time) roster.Host {
 	return roster.Host{
-		Address: p.Address, DataCentre: p.DataCentre, Incarnation: uint64(p.Incarnation), Leaving: p.Leaving,
+		Address: p.Address, DataCentre: p.DataCentre, Incarnation: p.Incarnation, Leaving: p.Leaving,
 		Heard: now.Add(-time.Duration(p.AgeMillis) * time.Millisecond),
 	}
 }
 
 func toWire(h roster.Host, now clock.Time) wire.Peer {
-	p := wire.Peer{Address: h.Address, DataCentre: h.DataCentre, Incarnation: uint32(h.Incarnation), Leaving: h.Leaving}
+	p := wire.Peer{Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation, Leaving: h.Leaving}
 	if h.Heard != 0 {
 		// Rounded up: an age must not shrink on its way through several hosts.
 		p.AgeMillis = uint32(now.Sub(h.Heard)/time.Millisecond) + 1
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -169,7 +169,7 @@
 	}
 	h.mesh = mesh.New(mesh.Config{
 		Clock: h.clock, Conn: conn, Seeds: seeds, Rand: newRand(), Counters: h.counters, Log: h.log,
-		Self: roster.Host{Address: conn.LocalAddr().String(), DataCentre: s.DataCentre, Incarnation: uint64(rand.Uint32() | 1)},
+		Self: roster.Host{Address: conn.LocalAddr().String(), DataCentre: s.DataCentre, Incarnation: rand.Uint32() | 1},
 	})
 	return nil
 }
@@ -255,7 +255,7 @@
 	if p == nil || !h.fault.CompareAndSwap(nil, p) {
 		return
 	}
-	h.log.Error("host: a controller panicked. The host stops.", zap.Error(p.AsError()))
+	h.log.Named("host").Error("A controller panicked. The host stops.", zap.Error(p.AsError()))
 	close(h.broken)
 }
 
@@ -272,7 +272,7 @@
 	}
 	wg.Go(func() { _ = h.ready.Serve(h.listeners.ready) })
 	wg.Go(func() { _ = h.operator.Serve(h.listeners.operator) })
-	h.log.Info("host: started.", zap.String("callers", h.settings.Listen), zap.String("data_centre", h.settings.DataCentre))
+	h.log.Named("host").Info("Started.", zap.String("callers", h.settings.Listen), zap.String("data_centre", h.settings.DataCentre))
 	select {
 	case <-ctx.Done():
 	case <-h.broken:
@@ -312,7 +312,7 @@
 	start := h.clock.Now()
 	h.leaving.Store(true)
 	h.mesh.Leave()
-	h.log.Info("host: stopping.", zap.Int64("requests", h.callers.Active()))
+	h.log.Named("host").Info("Stopping.", zap.Int64("requests", h.callers.Active()))
 	bound, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.StopBound)-exitReserve)
 	defer cancel()
 	h.callers.LastAnswers()
@@ -323,14 +323,11 @@
 	// request that is taken now may outlast the stop.
 	h.stopping.Stop()
 	h.callers.Drain()
-	for h.callers.Idle(bound) {
+	if h.callers.Idle(bound) {
 		quiet := time.NewTimer(settle)
 		<-quiet.C
-		if h.callers.Active() == 0 {
-			break
-		}
 	}
-	h.log.Info("host: stopped.", zap.Int64("requests_cut", h.callers.Active()), zap.Duration("took", h.clock.Now().Sub(start)))
+	h.log.Named("host").Info("Stopped.", zap.Int64("requests_cut", h.callers.Active()), zap.Duration("took", h.clock.Now().Sub(start)))
 }
 
 // Reload takes new settings. Addresses and the data centre of a running process
@@ -338,9 +335,9 @@
 func (h *Host) Reload(s *settings.Settings) {
 	seeds, err := seedAddresses(s)
 	if err != nil {
-		h.log.Error("host: the settings name a peer that cannot be.", zap.Error(err))
+		h.log.Named("host").Error("The settings name a peer that cannot be.", zap.Error(err))
 		return
 	}
 	h.mesh.SetSeeds(seeds)
-	h.log.Info("host: settings reloaded.", zap.Strings("seeds", seeds))
+	h.log.Named("host").Info("Settings reloaded.", zap.Strings("seeds", seeds))
 }
--- a/internal/feedhost/observe.go
+++ b/internal/feedhost/observe.go
@@ -29,11 +29,11 @@
 	if served && len(x.Tried) <= 1 {
 		return
 	}
-	message := "requests: not served."
+	message := "Not served."
 	if served {
-		message = "requests: served after more than one attempt."
+		message = "Served after more than one attempt."
 	}
-	if ce := h.log.Check(zap.InfoLevel, message); ce != nil {
+	if ce := h.log.Named("requests").Check(zap.InfoLevel, message); ce != nil {
 		ce.Write(h.fields(x, out, took)...)
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -31,7 +31,7 @@
 type Host struct {
 	Address     string // IP:port for datagrams
 	DataCentre  string
-	Incarnation uint64 // random per process start, 32 bits; 0 while it was not heard
+	Incarnation uint32 // random per process start; 0 while it was not heard
 	Leaving     bool   // announced a planned stop
 	Heard       clock.Time
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -13,7 +13,7 @@
 )
 
 func host(n int, dc string) Host {
-	return Host{Address: fmt.Sprintf("10.0.0.%d:1", n), DataCentre: dc, Incarnation: uint64(n + 1)}
+	return Host{Address: fmt.Sprintf("10.0.0.%d:1", n), DataCentre: dc, Incarnation: uint32(n + 1)}
 }
 
 // TestDuties guards against a duty that nobody does, and against one that many
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/tomlfile"
 )
@@ -43,6 +45,7 @@
 	case !s.Plaintext:
 		c.tls("peer_tls", s.PeerTLS, true)
 	}
+	c.entry()
 	c.ints("max_header_bytes", s.MaxHeaderBytes, 1<<10, 1<<20)
 	c.ints("max_body_bytes", s.MaxBodyBytes, 1<<10, 64<<20)
 	c.ints("max_connections", s.MaxConnections, 1, 1<<20)
@@ -85,6 +88,37 @@
 	}
 }
 
+// entry checks what only hosts that are configured by a feed need.
+func (c *checker) entry() {
+	for _, l := range []struct{ key, address string }{{"mesh", c.s.Mesh}, {"ready", c.s.Ready}} {
+		if _, err := netip.ParseAddrPort(l.address); l.address != "" && err != nil {
+			c.bad(l.key, "%q is not IP:port; host names are not allowed", l.address)
+		}
+	}
+	if r := c.s.RetryRatio; r < 0 || r > 1 {
+		c.bad("retry_ratio", "is %v, must be from 0 to 1", r)
+	}
+	if s := c.s.RetrySlack; s < 0 {
+		c.bad("retry_slack", "is %v, must not be negative", s)
+	}
+	if m := c.s.MemoryMegabytes; m < 0 {
+		c.bad("memory_megabytes", "is %d, must not be negative", m)
+	}
+}
+
+// CheckEntry returns what a host that is configured by a feed lacks, or nil.
+func (s *Settings) CheckEntry() error {
+	switch {
+	case s.Mesh == "":
+		return errors.New("mesh: is missing")
+	case s.Ready == "":
+		return errors.New("ready: is missing")
+	case len(s.Platform) == 0:
+		return errors.New("platform: is missing")
+	}
+	return nil
+}
+
 func (c *checker) duplicate(key string, before []string, v string) {
 	for _, b := range before {
 		if b == v {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,6 +49,9 @@
 		{"plaintext = true", "plaintext = true\n[caller_tls]\nkey = \"a\"", "line 10: caller_tls.certificate: is missing"},
 		{"plaintext = true", "plaintext = true\nstop_bound = \"0s\"\nmax_connections = 0", "line 10: stop_bound: is 0s, must be from 1s to 1h0m0s\nline 11: max_connections: is 0"},
 		{"plaintext", "plain_text", "line 9: plain_text: unknown key"},
+		{"plaintext = true", "plaintext = true\nmesh = \"host:1\"", "line 10: mesh: \"host:1\" is not IP:port"},
+		{"plaintext = true", "plaintext = true\nready = \"7\"", "line 10: ready: \"7\" is not IP:port"},
+		{"plaintext = true", "plaintext = true\nretry_ratio = 1.5\nretry_slack = -1.0", "line 10: retry_ratio: is 1.5, must be from 0 to 1\nline 11: retry_slack: is -1"},
 	} {
 		_, err := Parse([]byte(strings.Replace(valid, c.old, c.new, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.want) {
