Test that leaving servers are no candidates

Cause: with the part taken out, TestNews passed: a leaving server is not measured any more and so not chosen while others are known.

Result: the new test passes with the race detector; no product code changed.

--- /dev/null
+++ b/internal/controller/feeds/servers_test.go
@@ -0,0 +1,27 @@
+package feeds
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/state"
+)
+
+// TestCandidates guards against new work for a server that is leaving, or for
+// one in a data centre that is out of service.
+func TestCandidates(t *testing.T) {
+	is := is.New(t)
+	table := newServerTable()
+	add := func(name, dc string, leaving bool) {
+		table.byKey[name] = &state.Server{Service: "s", BackendServer: manifest.BackendServer{Name: name, DataCentre: dc, Leaving: leaving}}
+	}
+	add("stays", "a", false)
+	add("leaves", "a", true)
+	add("out", "b", false)
+	servers := table.build(&Published{Out: map[string]bool{"b": true}})
+	is.Equal(len(servers.ByName), 3)
+	is.Equal(len(servers.ByService["s"]), 1)
+	is.Equal(servers.ByService["s"][0].Name, "stays")
+}
