Log and count how hosts learn of crashing requests

Cause: logs and metrics could not tell apart a crash that was not confirmed, a report that did not fit into a heartbeat, and a host that never got it. Change: a reset that is not confirmed is logged and counted (crashes.unconfirmed), as are reports of other hosts (crashes.received) and reports that wait for a later heartbeat (crashes.deferred); the line of a request that met or was refused for a crash has its fingerprint. No decision changes.

--- a/internal/controller/crashes/crashes.go
+++ b/internal/controller/crashes/crashes.go
@@ -80,7 +80,7 @@
 	table       *poison.Table // used by Run's goroutine only
 	unconfirmed []unconfirmedCrash
 
-	dropped, confirmed *expvar.Int
+	dropped, confirmed, unconfirmedCount, received, deferred *expvar.Int
 }
 
 func New(cfg Config) *Controller {
@@ -88,6 +88,8 @@
 		cfg: cfg, log: cfg.Log.Named("crashes"), queue: make(chan func(), queueLength),
 		table:   poison.New(Policy(), cfg.Self, uint64(time.Now().UnixNano())),
 		dropped: cfg.Counters.Int("crashes.dropped"), confirmed: cfg.Counters.Int("crashes.confirmed"),
+		unconfirmedCount: cfg.Counters.Int("crashes.unconfirmed"), received: cfg.Counters.Int("crashes.received"),
+		deferred: cfg.Counters.Int("crashes.deferred"),
 	}
 	c.outgoing.Store(&[]outgoingUpdate{})
 	return c
@@ -153,6 +155,10 @@
 			changed = true
 		case now.Sub(crash.at) < confirmTimeout:
 			kept = append(kept, crash)
+		default:
+			c.unconfirmedCount.Add(1)
+			c.log.Info("A connection was reset while a request ran, but no crash of the backend server was found. The reset does not count.",
+				zap.Uint64("fingerprint", crash.fingerprint), zap.String("server", crash.server.Name))
 		}
 	}
 	c.unconfirmed = kept
@@ -200,8 +206,9 @@
 
 // AddToHeartbeat implements mesh.HeartbeatHandler.
 func (c *Controller) AddToHeartbeat(_ clock.Time, b *wire.Heartbeat) {
-	for _, out := range *c.outgoing.Load() {
+	for i, out := range *c.outgoing.Load() {
 		if len(b.Crashes) == maxUpdatesPerHeartbeat {
+			c.deferred.Add(int64(len(*c.outgoing.Load()) - i))
 			return
 		}
 		b.Crashes = append(b.Crashes, wire.Crash{
@@ -227,6 +234,9 @@
 			if !c.table.Apply(now, u) {
 				return
 			}
+			c.received.Add(1)
+			c.log.Info("Another host reported a backend server that crashed while it ran a request.", zap.Uint64("fingerprint", u.Fingerprint),
+				zap.String("server", u.Server), zap.String("origin", u.Origin), zap.Int("crashes", u.Crashes), zap.Bool("refused", c.table.Refused(now, u.Fingerprint)))
 			outgoing := append([]outgoingUpdate{}, *c.outgoing.Load()...)
 			outgoing = append(outgoing, outgoingUpdate{u, now.Add(sendDuration)})
 			c.outgoing.Store(&outgoing)
--- a/internal/feedhost/observe.go
+++ b/internal/feedhost/observe.go
@@ -62,6 +62,9 @@
 	if len(x.Tried) > 0 {
 		f = append(f, zap.Strings("tried", x.Tried))
 	}
+	if x.Crashed || out.Reason == verdict.ReasonSuspect {
+		f = append(f, zap.Uint64("fingerprint", x.Fingerprint))
+	}
 	if estimate := &x.PlacementEstimate; estimate.Server != "" {
 		f = append(f, zap.String("best", estimate.Server), zap.Duration("expected", estimate.Expected), zap.Float64("running", estimate.Running),
 			zap.Float64("waiting", estimate.Waiting), zap.Float64("speed", estimate.Speed), zap.Duration("reading_age", estimate.Age))
