Repeat refused requests to hosts that were away

Cause: a crash was sent in heartbeats for 3 s and never again, so a host that was restarted or cut off meanwhile ran a request that the fleet refuses: two more servers for each such host. Callers saw 502 for it, other callers lost what these servers ran. Change: each heartbeat and digest also repeats up to two of the requests that are refused after two or more crashes, in turn, until their refusal ends. A report carries the age of its crash, so that the refusal ends everywhere at the same time and hosts do not keep each other's refusals alive; an older host ignores the new field. Why it works: whoever hears any host of its data centre hears of each refusal, however long it was away. Result: TestAbsentHostLearnsOfRefusals failed before (the host did not refuse).

--- a/internal/controller/crashes/crashes.go
+++ b/internal/controller/crashes/crashes.go
@@ -33,6 +33,11 @@
 	sendDuration = 3 * time.Second
 	// maxUpdatesPerHeartbeat bounds the crashes in one heartbeat.
 	maxUpdatesPerHeartbeat = 8
+	// refusalsPerHeartbeat bounds the refused requests that a heartbeat repeats, in
+	// turn, for hosts that were restarted or cut off when the crashes were sent. With
+	// five heartbeats a second, a host that sends alone repeats ten of them in a
+	// second.
+	refusalsPerHeartbeat = 2
 )
 
 // Policy refuses a request for a minute after two confirmed crashes, and does not
@@ -63,10 +68,15 @@
 	at          clock.Time
 }
 
-// outgoingUpdate is an update and the time until which it is sent in heartbeats.
+// outgoingUpdate is an update that is sent in heartbeats.
 type outgoingUpdate struct {
 	update poison.Update
-	until  clock.Time
+	at     clock.Time // time of the crash
+	until  clock.Time // end of sending
+}
+
+func newOutgoing(now clock.Time, u poison.Update) outgoingUpdate {
+	return outgoingUpdate{update: u, at: now.Add(-u.Age), until: now.Add(sendDuration)}
 }
 
 // Controller is the only writer of Snapshot.PoisonRequests. It implements
@@ -76,6 +86,9 @@
 	log      *zap.Logger
 	queue    chan func()
 	outgoing atomic.Pointer[[]outgoingUpdate] // immutable
+	refusals atomic.Pointer[[]outgoingUpdate] // requests that are refused; immutable
+
+	nextRefusal int // used by the goroutine that calls AddToHeartbeat and AddToDigest
 
 	table       *poison.Table // used by Run's goroutine only
 	unconfirmed []unconfirmedCrash
@@ -92,6 +105,7 @@
 		deferred: cfg.Counters.Int("crashes.deferred"),
 	}
 	c.outgoing.Store(&[]outgoingUpdate{})
+	c.refusals.Store(&[]outgoingUpdate{})
 	return c
 }
 
@@ -192,11 +206,17 @@
 	c.log.Warn("A backend server crashed while it ran a request.",
 		zap.Uint64("fingerprint", crash.fingerprint), zap.String("server", crash.server.Name), zap.Int("crashes", u.Crashes))
 	outgoing := append([]outgoingUpdate{}, *c.outgoing.Load()...)
-	outgoing = append(outgoing, outgoingUpdate{u, now.Add(sendDuration)})
+	outgoing = append(outgoing, newOutgoing(now, u))
 	c.outgoing.Store(&outgoing)
 }
 
 func (c *Controller) publish() {
+	now := c.cfg.Clock.Now()
+	refusals := []outgoingUpdate{}
+	c.table.Refusals(now, func(u poison.Update, until clock.Time) {
+		refusals = append(refusals, outgoingUpdate{update: u, at: now.Add(-u.Age), until: until})
+	})
+	c.refusals.Store(&refusals)
 	next := &state.PoisonRequests{ByFingerprint: map[uint64]state.PoisonRequest{}}
 	c.table.PoisonRequests(func(fp uint64, e *poison.Entry) {
 		next.ByFingerprint[fp] = state.PoisonRequest{Crashes: e.Crashes, Refuse: e.Crashes > 1, Expires: e.RefuseUntil}
@@ -204,17 +224,30 @@
 	c.cfg.Store.Update(func(s *state.Snapshot) { s.PoisonRequests = next })
 }
 
-// AddToHeartbeat implements mesh.HeartbeatHandler.
-func (c *Controller) AddToHeartbeat(_ clock.Time, b *wire.Heartbeat) {
-	for i, out := range *c.outgoing.Load() {
+// AddToHeartbeat implements mesh.HeartbeatHandler. It adds the crashes of the last
+// few seconds, and some of the requests that are refused.
+func (c *Controller) AddToHeartbeat(now clock.Time, b *wire.Heartbeat) {
+	outgoing, refusals := *c.outgoing.Load(), *c.refusals.Load()
+	for i := range outgoing {
 		if len(b.Crashes) == maxUpdatesPerHeartbeat {
-			c.deferred.Add(int64(len(*c.outgoing.Load()) - i))
-			return
+			c.deferred.Add(int64(len(outgoing) - i))
+			break
+		}
+		b.Crashes = append(b.Crashes, toWire(now, &outgoing[i]))
+	}
+	for range min(refusalsPerHeartbeat, len(refusals)) {
+		c.nextRefusal = (c.nextRefusal + 1) % len(refusals)
+		if out := &refusals[c.nextRefusal]; now.Before(out.until) {
+			b.Crashes = append(b.Crashes, toWire(now, out))
 		}
-		b.Crashes = append(b.Crashes, wire.Crash{
-			Fingerprint: out.update.Fingerprint, Server: out.update.Server, Origin: out.update.Origin,
-			Sequence: out.update.Sequence, Count: out.update.Crashes,
-		})
+	}
+}
+
+func toWire(now clock.Time, out *outgoingUpdate) wire.Crash {
+	u := &out.update
+	return wire.Crash{
+		Fingerprint: u.Fingerprint, Server: u.Server, Origin: u.Origin, Sequence: u.Sequence, Count: u.Crashes,
+		AgeMillis: uint32(max(0, now.Sub(out.at)) / time.Millisecond),
 	}
 }
 
@@ -225,7 +258,7 @@
 // that they reach other data centres with the digests of whichever host sends them.
 func (c *Controller) Received(_ clock.Time, b *wire.Heartbeat) {
 	for _, w := range b.Crashes {
-		u := poison.Update{Fingerprint: w.Fingerprint, Server: w.Server, Origin: w.Origin, Sequence: w.Sequence, Crashes: w.Count}
+		u := poison.Update{Fingerprint: w.Fingerprint, Server: w.Server, Origin: w.Origin, Sequence: w.Sequence, Crashes: w.Count, Age: time.Duration(w.AgeMillis) * time.Millisecond}
 		if u.Origin == c.cfg.Self || c.isSending(u) {
 			continue
 		}
@@ -238,7 +271,7 @@
 			c.log.Info("Another host reported a backend server that crashed while it ran a request.", zap.Uint64("fingerprint", u.Fingerprint),
 				zap.String("server", u.Server), zap.String("origin", u.Origin), zap.Int("crashes", u.Crashes), zap.Bool("refused", c.table.Refused(now, u.Fingerprint)))
 			outgoing := append([]outgoingUpdate{}, *c.outgoing.Load()...)
-			outgoing = append(outgoing, outgoingUpdate{u, now.Add(sendDuration)})
+			outgoing = append(outgoing, newOutgoing(now, u))
 			c.outgoing.Store(&outgoing)
 			c.publish()
 		})
@@ -248,9 +281,11 @@
 // isSending reports whether the update, or a later one of its origin for the same
 // request, is being sent already.
 func (c *Controller) isSending(u poison.Update) bool {
-	for _, out := range *c.outgoing.Load() {
-		if out.update.Fingerprint == u.Fingerprint && out.update.Origin == u.Origin && out.update.Sequence >= u.Sequence {
-			return true
+	for _, list := range [...]*[]outgoingUpdate{c.outgoing.Load(), c.refusals.Load()} {
+		for _, out := range *list {
+			if out.update.Fingerprint == u.Fingerprint && out.update.Origin == u.Origin && out.update.Sequence >= u.Sequence {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/controller/crashes/crashes_test.go
+++ b/internal/controller/crashes/crashes_test.go
@@ -100,3 +100,37 @@
 	b.process()
 	is.True(!b.refuses(7)) // the refusal expires
 }
+
+// TestAbsentHostLearnsOfRefusals guards against a host that was restarted or cut off
+// while the fleet learned of a crashing request, and sends it again.
+func TestAbsentHostLearnsOfRefusals(t *testing.T) {
+	is := is.New(t)
+	now := &clock.Manual{}
+	now.Advance(time.Second)
+	a := newHost("a", now)
+	const requests = 5
+	for fp := uint64(1); fp <= requests; fp++ {
+		a.crash(fp, 0, true)
+		now.Advance(3 * time.Second)
+		a.crash(fp, 1, true)
+		now.Advance(3 * time.Second)
+	}
+	now.Advance(sendDuration)
+	a.process()
+	b := newHost("b", now)
+	for range 5 { // the heartbeats of a second
+		a.sendHeartbeat(b)
+	}
+	for fp := uint64(1); fp <= requests; fp++ {
+		is.True(b.refuses(fp))
+		is.Equal(b.store.Load().PoisonRequests.ByFingerprint[fp].Crashes, 2)
+	}
+	now.Advance(10 * time.Minute)
+	a.process()
+	b.process()
+	a.sendHeartbeat(b)
+	b.sendHeartbeat(a)
+	for fp := uint64(1); fp <= requests; fp++ {
+		is.True(!a.refuses(fp) && !b.refuses(fp)) // hosts do not keep each other's refusals alive
+	}
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -49,12 +49,13 @@
 // Update is one item of gossip state about a fingerprint.
 type Update struct {
 	Fingerprint uint64
-	Origin      string // entry host that observed the crash
-	Sequence    uint64 // per origin, increases with each crash it observed
-	Crashes     int    // crashes known to the sender, including this one
-	RetryUsed   bool   // the single retry is used up
-	Cleared     bool   // the request succeeded: crashes up to Sequence no longer count
-	Server      string // backend server that crashed
+	Origin      string        // entry host that observed the crash
+	Sequence    uint64        // per origin, increases with each crash it observed
+	Crashes     int           // crashes known to the sender, including this one
+	RetryUsed   bool          // the single retry is used up
+	Cleared     bool          // the request succeeded: crashes up to Sequence no longer count
+	Server      string        // backend server that crashed
+	Age         time.Duration // since the crash
 }
 
 // maxOrigins is the maximum number of origins stored for one fingerprint.
@@ -65,10 +66,11 @@
 	Crashes     int        // crashes of different servers; 0 after a success
 	RetryUsed   bool       // the single retry is used up
 	Server      string     // server that crashed last
-	LastCrash   clock.Time // when this host learned of the last crash
+	LastCrash   clock.Time // when the last server crashed
 	RefuseUntil clock.Time
 	Expires     clock.Time        // when the entry is removed
 	sequences   map[string]uint64 // latest sequence number by origin
+	last        Update            // that reported the last crash
 }
 
 // Table holds the poison requests known to one entry host. It is not safe for
@@ -121,6 +123,9 @@
 // update changes nothing, for example a duplicate.
 func (t *Table) Apply(now clock.Time, u Update) bool {
 	t.Expire(now)
+	if t.outdated(u) {
+		return false
+	}
 	e := t.entries[u.Fingerprint]
 	if e != nil && u.Sequence <= e.sequences[u.Origin] && !(u.Cleared && u.Sequence == e.sequences[u.Origin] && e.Crashes > 0) {
 		return false
@@ -131,10 +136,31 @@
 		t.clear(now, e)
 		return true
 	}
-	t.recordCrash(now, e, u)
+	t.recordCrash(now.Add(-u.Age), e, u)
 	return true
 }
 
+// outdated reports whether an entry with this update as its last crash would have
+// been removed. Without this check, hosts that receive an old update would repeat it
+// to those that have forgotten it, and the request would stay refused.
+func (t *Table) outdated(u Update) bool {
+	return u.Age > 0 && u.Age >= t.refusalTime(u.Crashes, false)+t.policy.BaseRefusalTime
+}
+
+// Refusals calls yield with one update for each request that is refused after two
+// or more crashes, and with the end of the refusal. The update tells hosts of it
+// that have not received those about the crashes.
+func (t *Table) Refusals(now clock.Time, yield func(u Update, until clock.Time)) {
+	for _, e := range t.entries {
+		if e.Crashes < 2 || !now.Before(e.RefuseUntil) {
+			continue
+		}
+		u := e.last
+		u.Crashes, u.RetryUsed, u.Age = e.Crashes, e.RetryUsed, now.Sub(e.LastCrash)
+		yield(u, e.RefuseUntil)
+	}
+}
+
 // Known returns the state of a fingerprint as updates, for a reply to another
 // entry host, or none when it is not a poison request.
 func (t *Table) Known(now clock.Time, fingerprint uint64) []Update {
@@ -224,13 +250,13 @@
 	}
 }
 
-// recordCrash counts the crash of a server. Several requests with the same
+// recordCrash counts the crash of a server at the given time. Several requests with the same
 // fingerprint may have been in flight on it, also from several entry hosts; they
 // count as one crash.
-func (t *Table) recordCrash(now clock.Time, e *Entry, u Update) {
+func (t *Table) recordCrash(at clock.Time, e *Entry, u Update) {
 	e.recordSequence(u)
 	e.RetryUsed = e.RetryUsed || u.RetryUsed
-	duplicate := e.Crashes > 0 && e.Server == u.Server && now.Sub(e.LastCrash) < t.policy.SameCrashWindow
+	duplicate := e.Crashes > 0 && e.Server == u.Server && at.Sub(e.LastCrash).Abs() < t.policy.SameCrashWindow
 	crashes := e.Crashes
 	if !duplicate {
 		crashes++
@@ -239,7 +265,11 @@
 	if crashes == e.Crashes {
 		return
 	}
-	e.Crashes, e.Server, e.LastCrash = crashes, u.Server, now
+	first := e.Crashes == 0
+	e.Crashes = crashes
+	if first || e.LastCrash.Before(at) {
+		e.Server, e.LastCrash, e.last = u.Server, at, u
+	}
 	t.setRefusal(e)
 }
 
@@ -278,6 +308,6 @@
 // clear ends the refusal. The entry is kept for as long as updates about the
 // crashes may be delayed, so that they do not refuse the request again.
 func (t *Table) clear(now clock.Time, e *Entry) {
-	e.Crashes, e.RetryUsed, e.Server, e.RefuseUntil = 0, false, "", 0
+	e.Crashes, e.RetryUsed, e.Server, e.RefuseUntil, e.last = 0, false, "", 0, Update{}
 	e.Expires = now.Add(t.policy.BaseRefusalTime)
 }
