Confirm the crash of a server by a connection attempt

Cause: a reset counted as a crash only if the readings of the host that probes the server showed the end of the server within 1.5 s. While that host was restarted, or cut off from the others, there were none, and a request that crashed server after server was never refused. Change: the host that sees the reset tries a connection at once, one for each server and at most 16 at a time. A refused connection confirms the crash; probes still do where the attempt shows nothing. Why it works: the evidence no longer depends on another host, and it is there within a round trip rather than after two probes and a heartbeat.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -111,6 +112,18 @@
 	return res
 }
 
+// RefusesConnections opens and closes a connection to the address. It returns true if
+// the connection was refused: the host is reachable and no process listens there.
+func (t *Transport) RefusesConnections(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, t.options.DialTimeout)
+	defer cancel()
+	c, err := t.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // ErrRestarted means that the server closed a connection that had been idle for less
 // than restartIdleTime, so that its process has probably ended.
 var ErrRestarted = errors.New("backend: the server closed a recently used connection; it has probably restarted")
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -362,3 +362,15 @@
 	_, reason = verdict.Decide(tr.Do(context.Background(), a).Facts)
 	is.Equal(reason, verdict.ReasonDeadline)
 }
+
+// TestRefusesConnections guards against a server that is taken for dead while it
+// listens, and the reverse.
+func TestRefusesConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	tr := New(Options{})
+	is.True(!tr.RefusesConnections(context.Background(), l.Addr().String()))
+	is.NoErr(l.Close())
+	is.True(tr.RefusesConnections(context.Background(), l.Addr().String()))
+}
--- a/internal/controller/crashes/crashes.go
+++ b/internal/controller/crashes/crashes.go
@@ -1,7 +1,8 @@
 // Package crashes owns the poison requests of the snapshot on hosts that confirm
-// crashes by their probes of backend servers. Filters report connections that were
-// reset while a request ran; the request counts as the cause if the server is found
-// to have crashed shortly afterwards. Confirmed crashes are sent in heartbeats.
+// crashes themselves. Filters report connections that were reset while a request ran;
+// the request counts as the cause if the server refuses connections then, or is found
+// by probes to have crashed shortly afterwards. Confirmed crashes are sent in
+// heartbeats.
 package crashes
 
 import (
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -28,6 +30,9 @@
 	// confirmTimeout is how long after the reset the server must be found to have
 	// crashed. Two probes and a heartbeat take under half a second.
 	confirmTimeout = 1500 * time.Millisecond
+	// maxConnectionTests bounds the servers to which connections are tried at the same
+	// time; the crashes of further ones are confirmed by probes only.
+	maxConnectionTests = 16
 	// sendDuration is how long a crash is repeated in heartbeats, since single ones
 	// get lost.
 	sendDuration = 3 * time.Second
@@ -52,11 +57,14 @@
 
 // Config holds the dependencies of a Controller.
 type Config struct {
-	Clock    clock.Clock
-	Store    *state.Store
-	Self     string // address of this host, the origin of its updates
-	Counters *metrics.Counters
-	Log      *zap.Logger
+	Clock clock.Clock
+	Store *state.Store
+	Self  string // address of this host, the origin of its updates
+	// RefusesConnections tries a connection to the address and reports whether it was
+	// refused, so that no process listens there.
+	RefusesConnections func(ctx context.Context, address string) bool
+	Counters           *metrics.Counters
+	Log                *zap.Logger
 }
 
 // unconfirmedCrash is a connection to server that was reset while a request ran. A
@@ -84,21 +92,24 @@
 type Controller struct {
 	cfg      Config
 	log      *zap.Logger
-	queue    chan func()
+	queue    chan func(ctx context.Context)   // executed by Run's goroutine
 	outgoing atomic.Pointer[[]outgoingUpdate] // immutable
 	refusals atomic.Pointer[[]outgoingUpdate] // requests that are refused; immutable
 
 	nextRefusal int // used by the goroutine that calls AddToHeartbeat and AddToDigest
 
-	table       *poison.Table // used by Run's goroutine only
+	// Used by Run's goroutine only.
+	table       *poison.Table
 	unconfirmed []unconfirmedCrash
+	testing     map[string]bool // servers to which a connection is being tried, by name
+	background  conc.WaitGroup  // connection attempts
 
 	dropped, confirmed, unconfirmedCount, received, deferred *expvar.Int
 }
 
 func New(cfg Config) *Controller {
 	c := &Controller{
-		cfg: cfg, log: cfg.Log.Named("crashes"), queue: make(chan func(), queueLength),
+		cfg: cfg, log: cfg.Log.Named("crashes"), queue: make(chan func(context.Context), queueLength), testing: map[string]bool{},
 		table:   poison.New(Policy(), cfg.Self, uint64(time.Now().UnixNano())),
 		dropped: cfg.Counters.Int("crashes.dropped"), confirmed: cfg.Counters.Int("crashes.confirmed"),
 		unconfirmedCount: cfg.Counters.Int("crashes.unconfirmed"), received: cfg.Counters.Int("crashes.received"),
@@ -109,7 +120,7 @@
 	return c
 }
 
-func (c *Controller) enqueue(f func()) {
+func (c *Controller) enqueue(f func(ctx context.Context)) {
 	select {
 	case c.queue <- f:
 	default:
@@ -122,14 +133,55 @@
 func (c *Controller) Crashed(_ context.Context, fingerprint uint64, server string, _ bool) bool {
 	crash := unconfirmedCrash{fingerprint, c.cfg.Store.Load().Servers.ByName[server], c.cfg.Clock.Now()}
 	if crash.server != nil {
-		c.enqueue(func() { c.unconfirmed = append(c.unconfirmed, crash) })
+		c.enqueue(func(ctx context.Context) {
+			c.unconfirmed = append(c.unconfirmed, crash)
+			c.testConnection(ctx, crash.server)
+		})
 	}
 	return false
 }
 
+// testConnection tries a connection to a server that may have crashed. The probes of
+// other hosts find the crash as well, but later, and not while those hosts are
+// restarted or cut off.
+func (c *Controller) testConnection(ctx context.Context, s *state.Server) {
+	if c.testing[s.Name] || len(c.testing) >= maxConnectionTests {
+		return
+	}
+	c.testing[s.Name] = true
+	c.background.Go(func() {
+		refused := c.cfg.RefusesConnections(ctx, s.Address)
+		c.enqueue(func(context.Context) {
+			delete(c.testing, s.Name)
+			if refused {
+				c.confirmWhere(func(crash unconfirmedCrash) bool { return crash.server.Name == s.Name && crash.server.Born == s.Born })
+			}
+		})
+	})
+}
+
+// confirmWhere confirms the crashes for which ended returns true.
+func (c *Controller) confirmWhere(ended func(unconfirmedCrash) bool) (any bool) {
+	now := c.cfg.Clock.Now()
+	kept := c.unconfirmed[:0]
+	for _, crash := range c.unconfirmed {
+		if !ended(crash) {
+			kept = append(kept, crash)
+			continue
+		}
+		c.confirm(crash, now)
+		any = true
+	}
+	c.unconfirmed = kept
+	if any {
+		c.publish()
+	}
+	return any
+}
+
 // Succeeded implements filter.PoisonRequestReporter.
 func (c *Controller) Succeeded(fingerprint uint64) {
-	c.enqueue(func() {
+	c.enqueue(func(context.Context) {
 		if len(c.table.Succeeded(c.cfg.Clock.Now(), fingerprint)) > 0 {
 			c.publish()
 		}
@@ -138,6 +190,7 @@
 
 // Run confirms crashes until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
+	defer c.background.Wait()
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
@@ -149,7 +202,7 @@
 		case <-ctx.Done():
 			return
 		case f := <-c.queue:
-			f()
+			f(ctx)
 		case <-tick:
 			c.check()
 		}
@@ -161,19 +214,16 @@
 func (c *Controller) check() {
 	now := c.cfg.Clock.Now()
 	changed := c.table.Expire(now)
+	confirmed := c.confirmWhere(func(crash unconfirmedCrash) bool { return c.serverCrashed(crash, now) })
 	kept := c.unconfirmed[:0]
 	for _, crash := range c.unconfirmed {
-		switch {
-		case c.serverCrashed(crash, now):
-			c.confirm(crash, now)
-			changed = true
-		case now.Sub(crash.at) < confirmTimeout:
+		if now.Sub(crash.at) < confirmTimeout {
 			kept = append(kept, crash)
-		default:
-			c.unconfirmedCount.Add(1)
-			c.log.Info("A connection was reset while a request ran, but no crash of the backend server was found. The reset does not count.",
-				zap.Uint64("fingerprint", crash.fingerprint), zap.String("server", crash.server.Name))
+			continue
 		}
+		c.unconfirmedCount.Add(1)
+		c.log.Info("A connection was reset while a request ran, but no crash of the backend server was found. The reset does not count.",
+			zap.Uint64("fingerprint", crash.fingerprint), zap.String("server", crash.server.Name))
 	}
 	c.unconfirmed = kept
 	var outgoing []outgoingUpdate
@@ -183,7 +233,7 @@
 		}
 	}
 	c.outgoing.Store(&outgoing)
-	if changed {
+	if changed && !confirmed {
 		c.publish()
 	}
 }
@@ -262,7 +312,7 @@
 		if u.Origin == c.cfg.Self || c.isSending(u) {
 			continue
 		}
-		c.enqueue(func() {
+		c.enqueue(func(context.Context) {
 			now := c.cfg.Clock.Now()
 			if !c.table.Apply(now, u) {
 				return
--- a/internal/controller/crashes/crashes_test.go
+++ b/internal/controller/crashes/crashes_test.go
@@ -33,14 +33,15 @@
 		table.ByName[s.Name] = s
 	}
 	h.store.Update(func(s *state.Snapshot) { s.Servers = table })
-	h.Controller = New(Config{Clock: t, Store: h.store, Self: name, Counters: metrics.New(), Log: zap.NewNop()})
+	h.Controller = New(Config{Clock: t, Store: h.store, Self: name, Counters: metrics.New(), Log: zap.NewNop(),
+		RefusesConnections: func(context.Context, string) bool { return false }})
 	return h
 }
 
 // process does what Run does with the queue and on a tick.
 func (h *host) process() {
 	for len(h.queue) > 0 {
-		(<-h.queue)()
+		(<-h.queue)(context.Background())
 	}
 	h.check()
 }
--- a/internal/controller/crashes/replay_test.go
+++ b/internal/controller/crashes/replay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,7 @@
 type replay struct {
 	rng        *rand.Rand
 	hosts      []*replayHost
+	mu         sync.Mutex           // guards downUntil
 	downUntil  map[string]time.Time // by server name
 	crashes    []time.Time
 	lateSends  int
@@ -62,17 +64,25 @@
 
 const replayServers = 24
 
+// down returns until when a server is down.
+func (r *replay) down(server string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.downUntil[server]
+}
+
 func (r *replay) startHost(i int) {
 	h := &replayHost{dataCentre: fmt.Sprint("dc", i%4), servers: map[string]*state.Server{}, started: time.Now(), stopped: make(chan struct{})}
 	store := state.NewStore(state.Member{Name: fmt.Sprint("eh", i)})
 	table := &state.Servers{ByName: map[string]*state.Server{}, ByService: map[string][]*state.Server{}, Out: map[string]bool{}}
 	for n := range replayServers {
-		s := &state.Server{BackendServer: manifest.BackendServer{Name: fmt.Sprint("b", n)}, Load: &load.State{}}
+		s := &state.Server{BackendServer: manifest.BackendServer{Name: fmt.Sprint("b", n), Address: fmt.Sprint("b", n)}, Load: &load.State{}}
 		h.servers[s.Name], table.ByName[s.Name] = s, s
 	}
 	store.Update(func(s *state.Snapshot) { s.Servers = table })
 	clk := clock.NewMonotonic()
-	h.Controller = New(Config{Clock: clk, Store: store, Self: fmt.Sprint("10.0.0.", i, ":7660"), Counters: metrics.New(), Log: zap.NewNop()})
+	h.Controller = New(Config{Clock: clk, Store: store, Self: fmt.Sprint("10.0.0.", i, ":7660"), Counters: metrics.New(), Log: zap.NewNop(),
+		RefusesConnections: func(_ context.Context, server string) bool { return time.Now().Before(r.down(server)) }})
 	h.chain = filter.Chain(
 		&filters.Retry{Clock: clk, Counters: metrics.New(), MaxTokens: func() float64 { return 2 }},
 		&filters.Poison{Clock: clk, Store: store, Reporter: h.Controller, ConfirmsCrashes: true},
@@ -101,14 +111,16 @@
 func (d dispatch) Handle(_ context.Context, x *filter.Exchange, _ filter.Handler) filter.Outcome {
 	r, h, now := d.r, d.h, time.Now()
 	name := fmt.Sprint("b", r.rng.IntN(replayServers))
-	for now.Before(r.downUntil[name]) {
+	for now.Before(r.down(name)) {
 		name = fmt.Sprint("b", r.rng.IntN(replayServers))
 	}
 	if n := len(r.crashes); n >= 3 && now.Sub(r.crashes[2]) > settleTime && now.Sub(h.started) > settleTime && now.Sub(h.cutUntil) > settleTime {
 		r.lateSends++
 	}
 	r.crashes = append(r.crashes, now)
+	r.mu.Lock()
 	r.downUntil[name] = now.Add(serverRestartTime)
+	r.mu.Unlock()
 	x.Grant = &filter.Grant{Server: &h.servers[name].BackendServer}
 	x.Tried = append(x.Tried, name)
 	for range r.bystanders {
@@ -139,8 +151,8 @@
 	now := time.Now()
 	for _, h := range r.hosts {
 		for name, s := range h.servers {
-			down := r.downUntil[name]
-			if !r.probesDown && now.After(h.cutUntil) {
+			down := r.down(name)
+			if !down.IsZero() && !r.probesDown && now.After(h.cutUntil) {
 				s.Load.Observe(load.Reading{At: h.cfg.Clock.Now(), Speed: 1, Silent: now.Before(down) && down.Sub(now) < serverRestartTime-2*tickInterval})
 			}
 		}
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -148,7 +148,8 @@
 		Clock: h.clock, Store: h.store, Transport: h.transport, Mesh: h.mesh, Counters: h.counters, Log: h.log,
 	})
 	h.crashes = crashes.New(crashes.Config{
-		Clock: h.clock, Store: h.store, Self: h.mesh.View().Self.Address, Counters: h.counters, Log: h.log,
+		Clock: h.clock, Store: h.store, Self: h.mesh.View().Self.Address, RefusesConnections: h.transport.RefusesConnections,
+		Counters: h.counters, Log: h.log,
 	})
 	h.mesh.AddHandler(h.crashes)
 	h.mesh.AddHandler(h.feeds)
