Number the crash reports of each process on their own

Cause: reports of crashes were numbered from the time of day under the host's address. A host that was restarted ignored the reports of others about crashes that its earlier process had seen, since it took them for its own; and if the time of day had been stepped back meanwhile, the others took its new reports for old ones. Found while looking for other reasons why a restarted host does not learn; numbering in serve (controller/poisonrequests) has the same fault. Change: the origin of a report names the process (host and incarnation); numbers start at 1, and no wall clock is read. Result: TestRestartedHostTakesPart fails with one origin for both processes, as before (the restarted host does not refuse), and passes now.

--- a/internal/controller/crashes/crashes.go
+++ b/internal/controller/crashes/crashes.go
@@ -59,7 +59,7 @@
 type Config struct {
 	Clock clock.Clock
 	Store *state.Store
-	Self  string // address of this host, the origin of its updates
+	Self  string // names this process in its updates; see poison.Origin
 	// RefusesConnections tries a connection to the address and reports whether it was
 	// refused, so that no process listens there.
 	RefusesConnections func(ctx context.Context, address string) bool
@@ -110,7 +110,7 @@
 func New(cfg Config) *Controller {
 	c := &Controller{
 		cfg: cfg, log: cfg.Log.Named("crashes"), queue: make(chan func(context.Context), queueLength), testing: map[string]bool{},
-		table:   poison.New(Policy(), cfg.Self, uint64(time.Now().UnixNano())),
+		table:   poison.New(Policy(), cfg.Self),
 		dropped: cfg.Counters.Int("crashes.dropped"), confirmed: cfg.Counters.Int("crashes.confirmed"),
 		unconfirmedCount: cfg.Counters.Int("crashes.unconfirmed"), received: cfg.Counters.Int("crashes.received"),
 		deferred: cfg.Counters.Int("crashes.deferred"),
--- a/internal/controller/crashes/crashes_test.go
+++ b/internal/controller/crashes/crashes_test.go
@@ -13,6 +13,7 @@
 	"github.com/anvilfront/anvilfront/internal/load"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/poison"
 	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/wire"
 )
@@ -135,3 +136,27 @@
 		is.True(!a.refuses(fp) && !b.refuses(fp)) // hosts do not keep each other's refusals alive
 	}
 }
+
+// TestRestartedHostTakesPart guards against a host that takes reports of crashes from
+// before its restart for its own, and against other hosts that take the crashes it
+// reports after its restart for old ones.
+func TestRestartedHostTakesPart(t *testing.T) {
+	is := is.New(t)
+	now := &clock.Manual{}
+	now.Advance(time.Second)
+	const address = "10.0.0.1:7660"
+	before, b := newHost(poison.Origin(address, 1), now), newHost("b", now)
+	before.crash(7, 0, true)
+	now.Advance(3 * time.Second)
+	before.crash(7, 1, true)
+	before.sendHeartbeat(b)
+	is.True(b.refuses(7))
+	after := newHost(poison.Origin(address, 2), now)
+	b.sendHeartbeat(after)
+	is.True(after.refuses(7))
+	after.crash(8, 2, true)
+	now.Advance(3 * time.Second)
+	after.crash(8, 3, true)
+	after.sendHeartbeat(b)
+	is.True(b.refuses(8))
+}
--- a/internal/controller/poisonrequests/announce.go
+++ b/internal/controller/poisonrequests/announce.go
@@ -129,7 +129,7 @@
 func (c *Controller) collectReplies(ctx context.Context, claims map[uint64]chan bool, notified int, replies <-chan *wire.PoisonNoticeReply) {
 	t := time.NewTimer(replyTimeout)
 	defer t.Stop()
-	self := c.cfg.Store.Load().Members.Self.Name
+	self := origin(&c.cfg.Store.Load().Members.Self)
 	known, replied := map[uint64]bool{}, 0
 	var updates []poison.Update
 wait:
@@ -202,7 +202,7 @@
 func fromWire(list []wire.PoisonUpdate) []poison.Update {
 	updates := make([]poison.Update, 0, len(list))
 	for _, s := range list {
-		if s.Origin == "" || len(s.Origin) > maxNameLength || len(s.Server) > maxNameLength || s.Crashes < 0 || s.TTLMillis <= 0 {
+		if s.Origin == "" || len(s.Origin) > maxNameLength+poison.MaxOriginSuffix || len(s.Server) > maxNameLength || s.Crashes < 0 || s.TTLMillis <= 0 {
 			continue
 		}
 		updates = append(updates, poison.Update{
--- a/internal/controller/poisonrequests/poisonrequests.go
+++ b/internal/controller/poisonrequests/poisonrequests.go
@@ -84,11 +84,9 @@
 	if cfg.Policy == (poison.Policy{}) {
 		cfg.Policy = poison.DefaultPolicy()
 	}
-	// The sequence starts at the wall-clock time, so that it increases across restarts.
-	firstSequence := uint64(time.Now().UnixNano())
 	c := &Controller{
 		cfg: cfg, log: cfg.Log.Named("suspects"), events: make(chan event, eventQueueLength),
-		table:   poison.New(cfg.Policy, cfg.Store.Load().Members.Self.Name, firstSequence),
+		table:   poison.New(cfg.Policy, origin(&cfg.Store.Load().Members.Self)),
 		notices: tokenBucket{tokens: noticeBurst},
 	}
 	c.crashes, c.cleared = cfg.Counters.Int("suspects.crashes"), cfg.Counters.Int("suspects.cleared")
@@ -106,6 +104,9 @@
 	return c
 }
 
+// origin returns the name of this process in its updates.
+func origin(self *state.Member) string { return poison.Origin(self.Name, self.Incarnation) }
+
 // Crashed implements filter.PoisonRequestReporter.
 func (c *Controller) Crashed(ctx context.Context, fingerprint uint64, server string, wantRetry bool) bool {
 	e := event{crashed: true, fingerprint: fingerprint, server: server}
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -34,6 +34,7 @@
 	"github.com/anvilfront/anvilfront/internal/metrics"
 	"github.com/anvilfront/anvilfront/internal/operator"
 	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/poison"
 	"github.com/anvilfront/anvilfront/internal/roster"
 	"github.com/anvilfront/anvilfront/internal/settings"
 	"github.com/anvilfront/anvilfront/internal/state"
@@ -147,8 +148,9 @@
 	h.measures = measures.New(measures.Config{
 		Clock: h.clock, Store: h.store, Transport: h.transport, Mesh: h.mesh, Counters: h.counters, Log: h.log,
 	})
+	self := h.mesh.View().Self
 	h.crashes = crashes.New(crashes.Config{
-		Clock: h.clock, Store: h.store, Self: h.mesh.View().Self.Address, RefusesConnections: h.transport.RefusesConnections,
+		Clock: h.clock, Store: h.store, Self: poison.Origin(self.Address, uint64(self.Incarnation)), RefusesConnections: h.transport.RefusesConnections,
 		Counters: h.counters, Log: h.log,
 	})
 	h.mesh.AddHandler(h.crashes)
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -11,6 +11,7 @@
 package poison
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -49,7 +50,7 @@
 // Update is one item of gossip state about a fingerprint.
 type Update struct {
 	Fingerprint uint64
-	Origin      string        // entry host that observed the crash
+	Origin      string        // process of the entry host that observed the crash; see Origin
 	Sequence    uint64        // per origin, increases with each crash it observed
 	Crashes     int           // crashes known to the sender, including this one
 	RetryUsed   bool          // the single retry is used up
@@ -83,13 +84,22 @@
 	evicted  int
 }
 
-// New returns an empty table for the entry host self. firstSequence must be
-// greater than every sequence number that an earlier process of the same name
-// used.
-func New(policy Policy, self string, firstSequence uint64) *Table {
-	return &Table{policy: policy, self: self, sequence: firstSequence, entries: map[uint64]*Entry{}}
+// New returns an empty table for the process self, an Origin.
+func New(policy Policy, self string) *Table {
+	return &Table{policy: policy, self: self, entries: map[uint64]*Entry{}}
 }
 
+// Origin returns the name of one process of an entry host. The updates of a process
+// are numbered from 1: by the host's name alone, other hosts would take those of a
+// restarted process for old ones, and it would take reports of its own crashes before
+// the restart for known.
+func Origin(host string, incarnation uint64) string {
+	return host + "/" + strconv.FormatUint(incarnation, 16)
+}
+
+// MaxOriginSuffix is the length in bytes that Origin adds to the name of a host.
+const MaxOriginSuffix = 17
+
 // Crashed records that server crashed while it ran the request. retry reports
 // whether the request may be retried once, as far as this host knows.
 func (t *Table) Crashed(now clock.Time, fingerprint uint64, server string, wantRetry bool) (u Update, retry bool) {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -17,7 +17,7 @@
 // unrelated request that stays refused, and a retry that is granted twice.
 func TestRefusals(t *testing.T) {
 	is := is.New(t)
-	a, b := New(DefaultPolicy(), "a", 0), New(DefaultPolicy(), "b", 0)
+	a, b := New(DefaultPolicy(), "a"), New(DefaultPolicy(), "b")
 	update, retry := a.Crashed(at(0), 1, "s1", true)
 	is.True(retry) // one retry after the first crash
 	is.True(b.Apply(at(time.Millisecond), update))
@@ -39,7 +39,7 @@
 // BaseRefusalTime because several copies were in flight on one crashing server.
 func TestCrashCountsOnce(t *testing.T) {
 	is := is.New(t)
-	a, b := New(DefaultPolicy(), "a", 0), New(DefaultPolicy(), "b", 0)
+	a, b := New(DefaultPolicy(), "a"), New(DefaultPolicy(), "b")
 	a.Crashed(at(0), 1, "s1", true)
 	a.Crashed(at(0), 1, "s1", true)
 	update, _ := b.Crashed(at(time.Millisecond), 1, "s1", true)
@@ -52,7 +52,7 @@
 // BaseRefusalTime because it was in flight together with the cause twice.
 func TestAmbiguousCrash(t *testing.T) {
 	is := is.New(t)
-	a := New(DefaultPolicy(), "a", 0)
+	a := New(DefaultPolicy(), "a")
 	for _, server := range []string{"s1", "s2"} {
 		a.Crashed(at(0), 1, server, true)
 		a.Crashed(at(0), 2, server, true)
@@ -69,7 +69,7 @@
 // and against an old clearing update that cancels a newer crash.
 func TestClear(t *testing.T) {
 	is := is.New(t)
-	a, b, c := New(DefaultPolicy(), "a", 0), New(DefaultPolicy(), "b", 0), New(DefaultPolicy(), "c", 0)
+	a, b, c := New(DefaultPolicy(), "a"), New(DefaultPolicy(), "b"), New(DefaultPolicy(), "c")
 	crash, _ := a.Crashed(at(0), 1, "s1", true)
 	b.Apply(at(0), crash)
 	cleared := b.Succeeded(at(time.Millisecond), 1)
@@ -93,7 +93,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		policy := DefaultPolicy()
 		policy.Capacity = 4
-		tables := []*Table{New(policy, "a", 0), New(policy, "b", 0), New(policy, "c", 0)}
+		tables := []*Table{New(policy, "a"), New(policy, "b"), New(policy, "c")}
 		now := clock.Time(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -66,7 +66,7 @@
 type Crash struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
 	Server      string `cbor:"2,keyasint"`           // that crashed
-	Origin      string `cbor:"3,keyasint"`           // address of the host that observed the crash
+	Origin      string `cbor:"3,keyasint"`           // process of the host that observed the crash
 	Sequence    uint64 `cbor:"4,keyasint"`           // per origin
 	Count       int    `cbor:"5,keyasint"`           // crashes known to the sender, this one included
 	AgeMillis   uint32 `cbor:"6,keyasint,omitempty"` // since the crash
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -46,7 +46,7 @@
 	RetryUsed   bool
 	Cleared     bool
 	TTLMillis   int64
-	Origin      string // entry host that observed the crash
+	Origin      string // process of the entry host that observed the crash
 	Sequence    uint64 // per origin, so that older updates do not replace newer ones
 	Server      string // backend server that crashed
 }
