Let crash reports take turns in heartbeats

Cause: a heartbeat held the first eight reports of the list. Change: reports take turns over successive heartbeats.

--- a/internal/controller/crashes/crashes.go
+++ b/internal/controller/crashes/crashes.go
@@ -36,7 +36,8 @@
 	// sendDuration is how long a crash is repeated in heartbeats, since single ones
 	// get lost.
 	sendDuration = 3 * time.Second
-	// maxUpdatesPerHeartbeat bounds the crashes in one heartbeat.
+	// maxUpdatesPerHeartbeat bounds the recent crashes in one heartbeat. They take
+	// turns: all requests in flight on a server that crashes are reported.
 	maxUpdatesPerHeartbeat = 8
 	// refusalsPerHeartbeat bounds the refused requests that a heartbeat repeats, in
 	// turn, for hosts that were restarted or cut off when the crashes were sent. With
@@ -96,7 +97,9 @@
 	outgoing atomic.Pointer[[]outgoingUpdate] // immutable
 	refusals atomic.Pointer[[]outgoingUpdate] // requests that are refused; immutable
 
-	nextRefusal int // used by the goroutine that calls AddToHeartbeat and AddToDigest
+	// Positions in outgoing and refusals; used by the goroutine that calls
+	// AddToHeartbeat and AddToDigest.
+	nextOutgoing, nextRefusal int
 
 	// Used by Run's goroutine only.
 	table       *poison.Table
@@ -278,12 +281,10 @@
 // few seconds, and some of the requests that are refused.
 func (c *Controller) AddToHeartbeat(now clock.Time, b *wire.Heartbeat) {
 	outgoing, refusals := *c.outgoing.Load(), *c.refusals.Load()
-	for i := range outgoing {
-		if len(b.Crashes) == maxUpdatesPerHeartbeat {
-			c.deferred.Add(int64(len(outgoing) - i))
-			break
-		}
-		b.Crashes = append(b.Crashes, toWire(now, &outgoing[i]))
+	c.deferred.Add(int64(max(0, len(outgoing)-maxUpdatesPerHeartbeat)))
+	for range min(maxUpdatesPerHeartbeat, len(outgoing)) {
+		c.nextOutgoing = (c.nextOutgoing + 1) % len(outgoing)
+		b.Crashes = append(b.Crashes, toWire(now, &outgoing[c.nextOutgoing]))
 	}
 	for range min(refusalsPerHeartbeat, len(refusals)) {
 		c.nextRefusal = (c.nextRefusal + 1) % len(refusals)
--- a/internal/controller/crashes/crashes_test.go
+++ b/internal/controller/crashes/crashes_test.go
@@ -160,3 +160,23 @@
 	after.sendHeartbeat(b)
 	is.True(b.refuses(8))
 }
+
+// TestReportsTakeTurns guards against the report of a crashing request that is never
+// sent, because those of the other requests on its server fill each heartbeat.
+func TestReportsTakeTurns(t *testing.T) {
+	is := is.New(t)
+	now := &clock.Manual{}
+	now.Advance(time.Second)
+	a, b := newHost("a", now), newHost("b", now)
+	const requests = 30
+	for fp := uint64(1); fp <= requests; fp++ {
+		a.Crashed(context.Background(), fp, a.servers[0].Name, false)
+	}
+	now.Advance(100 * time.Millisecond)
+	a.servers[0].Load.Observe(load.Reading{At: now.Now(), Silent: true})
+	a.process()
+	for range 10 {
+		a.sendHeartbeat(b)
+	}
+	is.Equal(len(b.store.Load().PoisonRequests.ByFingerprint), requests)
+}
