Count hedges among the attempts of a request

Cause: only repetitions of the chain were counted against the route's attempts. A request whose first copy and hedge both failed was sent to a third server on a route that allows two, and an error response of one copy cancelled the other, which might have served it, to send a third. Change: the servers of both copies are the attempts (Exchange.Tried); an error response waits for the copy that is still running. Why it works: the bound is on servers that the request was sent to, however it got there. Result: TestHedgeCountsAsAttempt failed before in all four cases (3 servers, 2 allowed) and passes now; go test -race ./internal/filters: ok.

--- a/internal/filters/hedge.go
+++ b/internal/filters/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -111,16 +112,18 @@
 // race sends one copy of the request, and a hedge if the first copy is slow and
 // allowHedge returns true. The hedge is sent after delay, or after the time from
 // dispatch that delayAfterDispatch returns if it is above 0. The first complete
-// response wins and the other copy is cancelled.
+// response that is not an error wins and the other copy is cancelled. x.Tried gets the
+// servers of both copies, since both count as attempts.
 func (f *Retry) race(ctx context.Context, x *filter.Exchange, next filter.Handler, delay time.Duration, delayAfterDispatch func(*filter.Grant) time.Duration, allowHedge func() bool) filter.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan copyResult, 2)
-	var sentTo atomic.Pointer[string] // backend server of the first copy, once it is dispatched
+	var firstServer, secondServer atomic.Pointer[string] // set when the copy is dispatched
 	dispatched := make(chan time.Duration, 1)
+	x.Tried = slices.Clip(x.Tried) // the copies append to it while this goroutine does
 	first := *x
 	first.BeforeDispatch = func() error {
-		sentTo.Store(&first.Grant.Server.Name)
+		firstServer.Store(&first.Grant.Server.Name)
 		if d := delayAfterDispatch(first.Grant); d > 0 {
 			dispatched <- d
 		}
@@ -134,38 +137,62 @@
 	defer timer.Stop()
 	running := 1
 	var last, earlier copyResult
+	defer func() {
+		for _, server := range [...]*string{firstServer.Load(), secondServer.Load()} {
+			if server != nil {
+				x.Tried = appendNew(x.Tried, *server)
+			}
+		}
+		x.PlacementEstimate = last.x.PlacementEstimate
+	}()
 	for running > 0 {
 		select {
 		case last = <-results:
+			for _, server := range last.x.Tried {
+				x.Tried = appendNew(x.Tried, server)
+			}
 			if earlier.x != nil {
 				last.out = combineOutcomes(earlier.out, last.out)
 			}
 			earlier = last
 			running--
 			x.Crashed, x.CrashRetry = x.Crashed || last.x.Crashed, x.CrashRetry || last.x.CrashRetry
-			if last.out.Verdict == verdict.Ran {
-				x.Tried, x.PlacementEstimate = last.x.Tried, last.x.PlacementEstimate
+			if last.out.Verdict == verdict.Ran && last.out.Reason != verdict.ReasonBackendError {
 				return last.out
 			}
 		case d := <-dispatched:
 			timer.Reset(d)
 		case <-timer.C:
-			server := sentTo.Load()
+			server := firstServer.Load()
 			if server == nil || !allowHedge() {
 				continue
 			}
 			second := *x
 			second.Grant, second.IsHedge = nil, true
 			second.Tried = append(append([]string(nil), x.Tried...), *server)
+			second.BeforeDispatch = func() error {
+				secondServer.Store(&second.Grant.Server.Name)
+				if x.BeforeDispatch != nil {
+					return x.BeforeDispatch()
+				}
+				return nil
+			}
 			f.Counters.Retry(verdict.ReasonHedge)
 			running++
 			go runCopy(ctx, &second, next, results)
 		}
 	}
-	x.Tried, x.PlacementEstimate = last.x.Tried, last.x.PlacementEstimate
 	return last.out
 }
 
+// appendNew appends name unless names contains it.
+func appendNew(names []string, name string) []string {
+	if contains(names, name) {
+		return names
+	}
+	return append(names, name)
+}
+
 func runCopy(ctx context.Context, x *filter.Exchange, next filter.Handler, results chan<- copyResult) {
 	done := copyResult{x: x, out: filter.Unknown(verdict.ReasonInternal, nil)}
 	defer func() {
--- a/internal/filters/retry.go
+++ b/internal/filters/retry.go
@@ -44,7 +44,7 @@
 		wait, retry := decideRetry(retryInput{
 			Verdict: last.Verdict, Reason: last.Reason, Idempotent: x.Route.Idempotent, Nested: x.Nested,
 			RetryErrors: x.Route.RetryErrors,
-			MaxRetries:  x.Route.Retries, RetriesDone: retries, Remaining: x.Deadline.Sub(f.Clock.Now()),
+			MaxRetries:  x.Route.Retries, RetriesDone: max(retries, len(x.Tried)-1), Remaining: x.Deadline.Sub(f.Clock.Now()),
 		}, random)
 		if !retry {
 			return out
--- a/internal/filters/retry_test.go
+++ b/internal/filters/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"testing"
@@ -218,6 +219,59 @@
 	})
 }
 
+// TestHedgeCountsAsAttempt guards against a request that is sent to more backend
+// servers than its route allows, because its hedge is not counted, and against a retry
+// that replaces a copy which is still running.
+func TestHedgeCountsAsAttempt(t *testing.T) {
+	failure := filter.Unknown(verdict.ReasonAnswerCut, nil)
+	serverError := filter.Outcome{Verdict: verdict.Ran, Reason: verdict.ReasonBackendError, Response: &filter.Response{Status: 500}}
+	success := filter.Outcome{Verdict: verdict.Ran, Response: &filter.Response{Status: 200}}
+	for name, c := range map[string]struct {
+		outcomes []filter.Outcome // of the first copy and its hedge
+		took     []time.Duration
+		want     filter.Outcome
+	}{
+		"both fail":                   {[]filter.Outcome{failure, failure}, []time.Duration{300, 100}, failure},
+		"first fails last":            {[]filter.Outcome{failure, failure}, []time.Duration{100, 300}, failure},
+		"errors":                      {[]filter.Outcome{serverError, serverError}, []time.Duration{300, 100}, serverError},
+		"success after hedge's error": {[]filter.Outcome{success, serverError}, []time.Duration{300, 10}, success},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &Retry{Clock: clock.NewMonotonic(), Counters: metrics.New(), MaxTokens: func() float64 { return 5 }}
+				f.budgets.get("s").milliTokens.Store(5 * milliTokensPerToken)
+				var sent atomic.Int32
+				h := filter.Chain(f, handler(func(ctx context.Context, x *filter.Exchange) filter.Outcome {
+					n := int(sent.Add(1)) - 1
+					name := fmt.Sprint("b", n)
+					x.Grant = &filter.Grant{Server: &manifest.BackendServer{Name: name}, Expected: 50 * time.Millisecond}
+					x.Tried = append(x.Tried, name)
+					if x.BeforeDispatch != nil {
+						_ = x.BeforeDispatch()
+					}
+					if n > 1 {
+						return success
+					}
+					select {
+					case <-time.After(c.took[n] * time.Millisecond):
+						return c.outcomes[n]
+					case <-ctx.Done():
+						return filter.Unknown(verdict.ReasonCallerGone, nil)
+					}
+				}))
+				x := exchange(true)
+				x.Route.Retries, x.Route.RetryErrors, x.Route.Objective = 1, true, manifest.Duration(600*time.Millisecond)
+				out := h.Handle(context.Background(), x)
+				is.Equal(sent.Load(), int32(2))
+				is.Equal(out.Verdict, c.want.Verdict)
+				is.Equal(out.Response, c.want.Response)
+				is.Equal(len(x.Tried), 2)
+			})
+		})
+	}
+}
+
 // noOrders handles no order keys.
 type noOrders struct{ Orders }
 
--- a/internal/filters/retrypolicy.go
+++ b/internal/filters/retrypolicy.go
@@ -21,7 +21,7 @@
 	RetryErrors bool
 	Nested      bool          // an earlier hop of the call chain may retry
 	MaxRetries  int           // per request, from the route
-	RetriesDone int           // so far, for this request
+	RetriesDone int           // so far, for this request; hedges included
 	Remaining   time.Duration // until the request's deadline
 }
 
