Clear a crashing request only on a success that was sent later

Cause: any response cleared the entry of a request, also one that was on its way when the crash was found, and an error response of a failing server. Change: a success counts if the same entry was listed when the attempt was sent.

--- a/internal/filters/poison.go
+++ b/internal/filters/poison.go
@@ -40,6 +40,7 @@
 		return filter.Refuse(verdict.ReasonSuspect, nil)
 	}
 	x.CrashRetry = false
+	listed, wasListed := p.Store.Load().PoisonRequests.ByFingerprint[x.Fingerprint]
 	out := next.Handle(ctx, x)
 	switch {
 	case out.Crashed:
@@ -50,8 +51,9 @@
 		}
 		wantRetry := x.Route.Idempotent && x.Route.Retries > 0 && !x.Nested
 		x.CrashRetry = p.Reporter.Crashed(ctx, x.Fingerprint, server, wantRetry)
-	case out.Verdict == verdict.Ran:
-		if _, ok := p.Store.Load().PoisonRequests.ByFingerprint[x.Fingerprint]; ok {
+	case out.Verdict == verdict.Ran && out.Reason != verdict.ReasonBackendError && wasListed:
+		// A success proves nothing about crashes that were found after it was sent.
+		if p.Store.Load().PoisonRequests.ByFingerprint[x.Fingerprint] == listed {
 			p.Reporter.Succeeded(x.Fingerprint)
 		}
 	}
--- a/internal/filters/poison_test.go
+++ b/internal/filters/poison_test.go
@@ -91,6 +91,35 @@
 	}
 }
 
+// TestOnlyLaterSuccessClears guards against a poison request that is cleared by a
+// response that was on its way when its crash was found, or by an error response.
+func TestOnlyLaterSuccessClears(t *testing.T) {
+	ran := filter.Outcome{Verdict: verdict.Ran}
+	known := state.PoisonRequest{Crashes: 1, Expires: 9}
+	for name, c := range map[string]struct {
+		before, after state.PoisonRequest // listed when the attempt is sent, and when it ends
+		out           filter.Outcome
+		cleared       int
+	}{
+		"success":             {known, known, ran, 1},
+		"crash found since":   {state.PoisonRequest{}, known, ran, 0},
+		"another crash since": {known, state.PoisonRequest{Crashes: 2, Refuse: true, Expires: 9}, ran, 0},
+		"error response":      {known, known, filter.Outcome{Verdict: verdict.Ran, Reason: verdict.ReasonBackendError}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store, rep := state.NewStore(state.Member{Name: "a"}), &fakeReporter{}
+			p := &Poison{Clock: &clock.Manual{}, Store: store, Reporter: rep, ConfirmsCrashes: true}
+			x := &filter.Exchange{Request: &filter.Request{Path: "/"}, Route: &manifest.Route{Name: "r"}}
+			publishPoisonRequest(store, x, c.before)
+			p.Handle(context.Background(), x, filter.HandlerFunc(func(context.Context, *filter.Exchange) filter.Outcome {
+				publishPoisonRequest(store, x, c.after)
+				return c.out
+			}))
+			is.New(t).Equal(rep.succeeded, c.cleared)
+		})
+	}
+}
+
 func publishPoisonRequest(store *state.Store, x *filter.Exchange, v state.PoisonRequest) {
 	store.Update(func(s *state.Snapshot) {
 		s.PoisonRequests = &state.PoisonRequests{ByFingerprint: map[uint64]state.PoisonRequest{}}
