Identify a crashing request by its host, not by its route

Cause: the fingerprint contained the name of the route, so a new configuration that serves the same path by another route made the request a new one. Result: TestFingerprint failed before for a request whose route was renamed, and passes now.

--- a/internal/filters/poison.go
+++ b/internal/filters/poison.go
@@ -73,7 +73,8 @@
 	return !x.CrashRetry || s.Crashes > 1
 }
 
-// Fingerprint identifies a request by route, caller, method, path, query and body.
+// Fingerprint identifies a request by host, caller, method, path, query and body. The
+// route is left out: a new manifest may name another one for the same request.
 // The order key is left out: otherwise an order that is sent again under a new key
 // would crash one more backend server each time. The result is never 0, which
 // means "not computed".
@@ -81,7 +82,7 @@
 	var d xxhash.Digest
 	d.Reset()
 	r := x.Request
-	for _, s := range [...]string{x.Route.Name, r.Caller, r.Method, r.Path, r.Query} {
+	for _, s := range [...]string{r.Host, r.Caller, r.Method, r.Path, r.Query} {
 		writeLengthPrefixed(&d, s)
 	}
 	_, _ = d.Write(r.Body) // a hash never returns an error
--- a/internal/filters/poison_test.go
+++ b/internal/filters/poison_test.go
@@ -129,15 +129,16 @@
 	})
 }
 
-// TestFingerprint guards against different requests with the same fingerprint, and
-// against allocations on the path of a request.
+// TestFingerprint guards against different requests with the same fingerprint, against
+// a request that gets another one through a new manifest, and against allocations on the
+// path of a request.
 func TestFingerprint(t *testing.T) {
 	part := rapid.SampledFrom([]string{"", "a", "b", "ab", "ba"})
 	draw := rapid.Custom(func(t *rapid.T) [6]string {
-		return [6]string{part.Draw(t, "route"), part.Draw(t, "method"), part.Draw(t, "path"), part.Draw(t, "query"), part.Draw(t, "key"), part.Draw(t, "body")}
+		return [6]string{part.Draw(t, "host"), part.Draw(t, "method"), part.Draw(t, "path"), part.Draw(t, "query"), part.Draw(t, "key"), part.Draw(t, "body")}
 	})
 	exchange := func(p [6]string) *filter.Exchange {
-		return &filter.Exchange{Route: &manifest.Route{Name: p[0]}, Key: p[4], Request: &filter.Request{Method: p[1], Path: p[2], Query: p[3], Body: []byte(p[5])}}
+		return &filter.Exchange{Route: &manifest.Route{}, Key: p[4], Request: &filter.Request{Host: p[0], Method: p[1], Path: p[2], Query: p[3], Body: []byte(p[5])}}
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := draw.Draw(t, "a"), draw.Draw(t, "b")
@@ -147,8 +148,12 @@
 			t.Fatalf("%q and %q", a, b)
 		}
 	})
-	x := exchange([6]string{"route", "GET", "/lots/7", "a=b", "", "body"})
-	is.New(t).Equal(testing.AllocsPerRun(100, func() { Fingerprint(x) }), 0.0)
+	x := exchange([6]string{"host", "GET", "/lots/7", "a=b", "", "body"})
+	is := is.New(t)
+	is.Equal(testing.AllocsPerRun(100, func() { Fingerprint(x) }), 0.0)
+	moved := exchange([6]string{"host", "GET", "/lots/7", "a=b", "", "body"})
+	moved.Route.Name = "another"
+	is.Equal(Fingerprint(moved), Fingerprint(x)) // a new manifest does not make it another request
 }
 
 // TestPoisonInsideRetry guards against a route with retries, hedged or not, that
