Read the rate limits that servers name, and show who knows them

Cause: nothing read the limit in a server's answers, so a log could not tell whether hosts know it in time. Change: responses and probes carry the limit into readings and heartbeats (a new field that older hosts ignore); the probing host logs each change, and a gauge counts the limited servers that a host knows. No decision uses it yet.

--- a/internal/controller/measures/heartbeats.go
+++ b/internal/controller/measures/heartbeats.go
@@ -1,6 +1,7 @@
 package measures
 
 import (
+	"math"
 	"time"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -21,7 +22,7 @@
 	// centres.
 	maxDigestReadingAge = time.Second
 	// maxReadings and maxOutcomes keep a heartbeat within wire.MaxHeartbeat bytes;
-	// a reading takes up to 24 bytes, an outcome up to 16.
+	// a reading takes up to 30 bytes, an outcome up to 16.
 	maxReadings = 36
 	maxOutcomes = 20
 )
@@ -141,6 +142,9 @@
 	if now.Before(r.ColdUntil) {
 		w.ColdMillis = uint32(r.ColdUntil.Sub(now)/time.Millisecond) + 1
 	}
+	if r.RateLimit > 0 {
+		w.RateLimit = uint32(min(max(1, 1000*r.RateLimit), math.MaxUint32))
+	}
 	return w
 }
 
@@ -149,6 +153,7 @@
 		At:      now.Add(-time.Duration(w.AgeMillis) * time.Millisecond),
 		Running: int(w.Running), Waiting: int(w.Waiting), Slots: int(w.Slots),
 		Speed: float64(w.Speed) / 100, Unhealthy: w.Unhealthy, Silent: w.Silent,
+		RateLimit: float64(w.RateLimit) / 1000,
 	}
 	if w.ColdMillis > 0 {
 		r.ColdUntil = now.Add(time.Duration(w.ColdMillis) * time.Millisecond)
--- a/internal/controller/measures/measures.go
+++ b/internal/controller/measures/measures.go
@@ -86,9 +86,20 @@
 	c := &Controller{cfg: cfg, log: cfg.Log.Named("measures"), workers: map[string]*worker{}}
 	c.probes, c.failed = cfg.Counters.Int("measures.probes"), cfg.Counters.Int("measures.probes_failed")
 	c.assigned.Store(&map[string]*state.Server{})
+	cfg.Counters.Set("measures.servers_limited", expvar.Func(func() any { return c.limitedServers() }))
 	return c
 }
 
+// limitedServers returns the number of servers whose newest reading has a rate limit.
+func (c *Controller) limitedServers() (n int64) {
+	for _, s := range c.cfg.Store.Load().Servers.ByName {
+		if r := s.Load.Reading(); r != nil && r.RateLimit > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // ProbeInterval returns the time between two probes of a server.
 func ProbeInterval(m *manifest.Manifest) time.Duration {
 	interval := maxProbeInterval
@@ -199,6 +210,7 @@
 	nextProbe     clock.Time
 	budget        *load.Budget
 	budgetService *manifest.Service // service that budget was made for
+	rateLimit     float64           // in the last response, in requests per second
 }
 
 func (w *worker) run(ctx context.Context) {
@@ -290,6 +302,11 @@
 		s.Load.SlowStart.ObserveInstance(now, res.Load.Instance)
 	}
 	r.Unhealthy = res.Response.Status != 200
+	if r.RateLimit != w.rateLimit {
+		c.log.Info("The rate limit that a backend server names has changed; 0 is no limit.", zap.String("server", s.Name),
+			zap.Float64("limit", r.RateLimit), zap.Float64("previous_limit", w.rateLimit))
+		w.rateLimit = r.RateLimit
+	}
 	s.Load.Observe(r)
 }
 
--- a/internal/filter/ports.go
+++ b/internal/filter/ports.go
@@ -75,6 +75,7 @@
 	Cold                    time.Duration // remaining time of a cold start; 0 when warm
 	Instance                string        // process that sent the response, or ""
 	InstanceOnly            bool          // only Instance was reported
+	RateLimit               float64       // requests per second that the server takes from all hosts together; 0: no limit
 }
 
 // Transport sends requests to backend servers.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -23,6 +23,7 @@
 	ColdUntil   clock.Time // end of the cold start; 0 if warm
 	Unhealthy   bool       // the health check failed
 	Silent      bool       // the server did not respond to the probe
+	RateLimit   float64    // requests per second that the server takes from all hosts together; 0: no limit
 	ownInflight int32      // this host's requests in flight when the reading arrived
 }
 
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -51,6 +51,9 @@
 	Unhealthy  bool   `cbor:"7,keyasint,omitempty"`
 	Silent     bool   `cbor:"8,keyasint,omitempty"`
 	AgeMillis  uint32 `cbor:"9,keyasint,omitempty"`
+	// RateLimit is the number of requests in 1000 s that the server takes from all
+	// hosts together; 0: no limit.
+	RateLimit uint32 `cbor:"10,keyasint,omitempty"`
 }
 
 // Outcome counts the results of the sender's requests at one backend server since
