Let one host send to a server that names a rate limit

Cause: nothing regarded the limit; each host sent a limited server its share by expected completion. Change: while a server's newest reading has a limit, one host of its data centre sends to it, at that rate (load.RateLimiter). The hosts share the servers of a service evenly (rendezvous.Balanced). A host that takes over waits for one interval; a new process waits until it knows the others. The others skip the server, and refuse at once where nothing else has room.

--- a/internal/controller/measures/measures.go
+++ b/internal/controller/measures/measures.go
@@ -79,6 +79,7 @@
 
 	workers  map[string]*worker // by server name; used by Run's goroutine only
 	assigned atomic.Pointer[map[string]*state.Server]
+	limited  atomic.Pointer[limitedServers]
 	index    atomic.Pointer[serverIndex]
 }
 
@@ -86,20 +87,11 @@
 	c := &Controller{cfg: cfg, log: cfg.Log.Named("measures"), workers: map[string]*worker{}}
 	c.probes, c.failed = cfg.Counters.Int("measures.probes"), cfg.Counters.Int("measures.probes_failed")
 	c.assigned.Store(&map[string]*state.Server{})
-	cfg.Counters.Set("measures.servers_limited", expvar.Func(func() any { return c.limitedServers() }))
+	c.limited.Store(&limitedServers{})
+	cfg.Counters.Set("measures.servers_limited", expvar.Func(func() any { return countLimited(cfg.Store.Load().Servers) }))
 	return c
 }
 
-// limitedServers returns the number of servers whose newest reading has a rate limit.
-func (c *Controller) limitedServers() (n int64) {
-	for _, s := range c.cfg.Store.Load().Servers.ByName {
-		if r := s.Load.Reading(); r != nil && r.RateLimit > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // ProbeInterval returns the time between two probes of a server.
 func ProbeInterval(m *manifest.Manifest) time.Duration {
 	interval := maxProbeInterval
@@ -186,6 +178,7 @@
 		}
 	}
 	c.assigned.Store(&assigned)
+	c.assignLimited(servers, v)
 }
 
 // startProbes starts a probe of each server whose previous probe has ended.
--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -45,16 +45,21 @@
 // ColdSender decides whether this host may send to a cold backend server now.
 type ColdSender interface{ MaySendToCold(s *state.Server) bool }
 
+// LimitedSender decides whether this host may send to a backend server that names a
+// rate limit.
+type LimitedSender interface{ MaySendToLimited(s *state.Server) bool }
+
 // Placement chooses the backend server of an attempt by expected completion time,
 // from load readings, and refuses requests that cannot be served in time. It
 // takes no lock, and its allocations do not grow with the size of the fleet.
 type Placement struct {
-	Clock clock.Clock
-	Store *state.Store
-	Cold  ColdSender
-	Rand  *rand.Rand      // set by tests and simulations; nil means the generators of the runtime
-	work  cowMap[average] // median duration of work in ns, by route name
-	speed cowMap[average] // mean speed, by service name
+	Clock   clock.Clock
+	Store   *state.Store
+	Cold    ColdSender
+	Limited LimitedSender   // nil: no server names a rate limit
+	Rand    *rand.Rand      // set by tests and simulations; nil means the generators of the runtime
+	work    cowMap[average] // median duration of work in ns, by route name
+	speed   cowMap[average] // mean speed, by service name
 }
 
 // Name implements filter.Filter.
@@ -70,10 +75,9 @@
 	// Uses the current servers, not those of the request's snapshot: a server that
 	// left since then must not get a retry.
 	servers := p.Store.Load().Servers.ByService[x.Service.Name]
-	found, full := p.choose(servers, x, requirements, now)
-	choice, admission := placement.Admit(found, requirements)
+	choice, reason := p.admit(servers, x, requirements, now)
 	x.PlacementEstimate = newPlacementEstimate(&choice, servers)
-	if reason := refusalReason(&choice, full, admission); reason != verdict.ReasonNone {
+	if reason != verdict.ReasonNone {
 		return p.refuse(x, reason)
 	}
 	target := servers[choice.Index]
@@ -94,6 +98,26 @@
 	return out
 }
 
+// maxChoices bounds how often a server is chosen again because another request took the
+// chosen one's rate limit meanwhile.
+const maxChoices = 4
+
+// admit chooses a server and decides whether the request is sent to it. The reason is
+// that of a refusal, or ReasonNone.
+func (p *Placement) admit(servers []*state.Server, x *filter.Exchange, requirements placement.Requirements, now clock.Time) (placement.Option, verdict.Reason) {
+	for range maxChoices {
+		found, full := p.choose(servers, x, requirements, now)
+		choice, admission := placement.Admit(found, requirements)
+		if reason := refusalReason(&choice, full, admission); reason != verdict.ReasonNone {
+			return choice, reason
+		}
+		if limit := choice.Load.RateLimit; limit == 0 || servers[choice.Index].Load.RateLimiter.Take(now, limit) {
+			return choice, verdict.ReasonNone
+		}
+	}
+	return placement.Option{}, verdict.ReasonOverload
+}
+
 // newPlacementEstimate returns what a choice was based on.
 func newPlacementEstimate(o *placement.Option, servers []*state.Server) filter.PlacementEstimate {
 	if !o.Found {
@@ -139,7 +163,7 @@
 // it would refuse the request.
 func (p *Placement) choose(servers []*state.Server, x *filter.Exchange, requirements placement.Requirements, now clock.Time) (best placement.Choice, full bool) {
 	meanSpeed := p.speed.get(x.Service.Name).get(1)
-	var cold placement.Choice
+	var bestCold placement.Choice
 	for i, s := range servers {
 		if s.Load.Suspended(now) || contains(x.Tried, s.Name) {
 			continue
@@ -162,22 +186,31 @@
 			}
 			continue
 		}
-		if e.Cold || now.Before(s.ColdUntil) {
+		cold := e.Cold || now.Before(s.ColdUntil)
+		if e.RateLimit > 0 && !(s.Load.RateLimiter.Ready(now, e.RateLimit) && (cold || p.maySendToLimited(s))) {
+			full = true
+			continue
+		}
+		if cold {
 			if s.Local && p.Cold.MaySendToCold(s) {
-				cold.Consider(i, c, requirements, p.random())
+				bestCold.Consider(i, c, requirements, p.random())
 			}
 			continue
 		}
 		best.Consider(i, c, requirements, p.random())
 	}
-	if c := cold.Best; c.Found && !best.BestWithCapacity.Found && (!best.Best.Found || c.CompletionTime < best.Best.CompletionTime) {
+	if c := bestCold.Best; c.Found && !best.BestWithCapacity.Found && (!best.Best.Found || c.CompletionTime < best.Best.CompletionTime) {
 		if servers[c.Index].Load.Cold.Take(now, coldQuota(x.Service), coldQuotaWindow) {
-			return cold, full
+			return bestCold, full
 		}
 	}
 	return best, full
 }
 
+func (p *Placement) maySendToLimited(s *state.Server) bool {
+	return p.Limited != nil && p.Limited.MaySendToLimited(s)
+}
+
 func (p *Placement) random() *rand.Rand {
 	if p.Rand != nil {
 		return p.Rand
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -63,6 +63,8 @@
 	Cold Window
 	// SlowStart limits them for a server that does not report a cold start.
 	SlowStart SlowStart
+	// RateLimiter limits them while the server names a rate limit.
+	RateLimiter RateLimiter
 }
 
 // decayingValue is a value that decays exponentially to 0, its neutral value. It is
@@ -184,6 +186,7 @@
 	Cold        bool
 	Unhealthy   bool
 	Silent      bool
+	RateLimit   float64 // requests per second that the server takes from all hosts; 0: no limit
 }
 
 // Estimate returns the estimated load at now. usualSpeed is the mean of Speed over
@@ -202,6 +205,7 @@
 		e.Slots = r.Slots
 	}
 	e.Cold, e.Unhealthy, e.Silent = now.Before(r.ColdUntil), r.Unhealthy, r.Silent
+	e.RateLimit = r.RateLimit
 	e.Waiting = float64(r.Waiting)
 	e.Running = max(float64(r.Running)+ownInflight-float64(r.ownInflight), ownInflight-e.Waiting, 0)
 	weight := math.Exp(-float64(max(e.Age, 0)) / float64(speedDecayTime))
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -76,3 +76,25 @@
 
 // Order is NewKey(key).Order(names).
 func Order(key string, names []string) []string { return NewKey(key).Order(names) }
+
+// Balanced assigns each key to one of the names, so that no name gets more than its
+// share, rounded up: a key goes to the name that ranks first of those that still have
+// room. The keys must be in the same order on all hosts. The result is empty if there
+// are no names.
+func Balanced(keys, names []string) map[string]string {
+	if len(names) == 0 {
+		return nil
+	}
+	share := (len(keys) + len(names) - 1) / len(names)
+	assigned, count := make(map[string]string, len(keys)), make(map[string]int, len(names))
+	for _, key := range keys {
+		for _, name := range Order(key, names) {
+			if count[name] < share {
+				assigned[key] = name
+				count[name]++
+				break
+			}
+		}
+	}
+	return assigned
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -190,6 +190,22 @@
 	return rendezvous.NewKey(key).First(v.shardOwners) == v.Self.Address
 }
 
+// OwnedShare returns those of the tasks that this host owns when all hosts of the data
+// centre that may own tasks share them evenly. The tasks must be in the same order on
+// all hosts.
+func (v *View) OwnedShare(tasks []string) (owned []string) {
+	assigned := rendezvous.Balanced(tasks, v.eligible)
+	for _, task := range tasks {
+		if assigned[task] == v.Self.Address {
+			owned = append(owned, task)
+		}
+	}
+	return owned
+}
+
+// SameOwners reports whether the same hosts may own tasks in both views.
+func (v *View) SameOwners(other *View) bool { return slices.Equal(v.eligible, other.eligible) }
+
 // selectShardOwners selects the hosts that share the sharded tasks: the first ones
 // in rendezvous order, so that a host that joins or leaves changes one of them.
 func (v *View) selectShardOwners() {
