Keep the bytes of a broken response out of the log

Cause: the error about a response head that is too large contains the head, up to 8 KiB, and the log line of the request contained the error. A server that sends bytes without end fills the log. Change: an error of our own. TestEndlessResponse sends bytes without end in 14 places of a head or a body: each ends before the request's timeout, and the request may have run. Result: the test failed before in five cases, for the length of the error only; no case held a request or was read without bound.

--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -22,6 +22,7 @@
 	errTrailingBytes = errors.New("unexpected bytes after the end of the response: its length is wrong")
 	errUpgrade       = errors.New("response switches protocols")
 	errInformational = errors.New("too many informational responses")
+	errHeadTooLarge  = errors.New("the head of the response exceeds the size limit")
 )
 
 // exchange sends one request and reads its response. The second result reports whether
@@ -120,9 +121,12 @@
 
 // recordFailure sets the facts of an attempt without a complete response.
 func recordFailure(res *filter.Result, c *conn, err error, deadline time.Time) {
+	if _, ok := errors.Into[*fasthttp.ErrSmallBuffer](err); ok {
+		err = errHeadTooLarge // the text of the original error contains the head
+	}
 	res.Err = err
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errHeadTooLarge):
 		res.Facts.ResponseState = verdict.ResponseTooLarge
 	case c.cancelled.Load():
 		res.Facts.Cancelled = true
@@ -134,9 +138,6 @@
 	default:
 		res.Reset = c.broken
 	}
-	if _, ok := errors.Into[*fasthttp.ErrSmallBuffer](err); ok {
-		res.Facts.ResponseState = verdict.ResponseTooLarge
-	}
 }
 
 // readFinalResponse reads the final response. A response is complete only if its end is
