Bound the memory of large responses together

Cause: each response was bounded (8 MiB), all of them were not. A few servers that send bodies without end to the requests of one host take up all its memory (284 MB), and the host is killed. Change: what is read of responses beyond 64 KiB each counts against a bound of the process, 16 MiB on hosts of a feed; a response that exceeds it fails as too large. Result: TestLargeResponsesShareMemory failed before (all eight requests ran into their timeout) and passes now.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -26,8 +26,15 @@
 	Dialect        Dialect       // how requests and responses are encoded; default DefaultDialect
 	Lenient        bool          // accept close-delimited responses, and unexpected bytes after a response
 	MaxConnections int           // connections to a server that SetServers did not list; default DefaultMaxConnections
+	// MaxBufferedBytes bounds the responses in memory that are being read, without the
+	// first freeResponseBytes of each; default 64 MiB.
+	MaxBufferedBytes int64
 }
 
+// freeResponseBytes is the size up to which responses do not count towards
+// Options.MaxBufferedBytes, so that a few endless ones do not affect ordinary ones.
+const freeResponseBytes = 64 << 10
+
 // DefaultMaxConnections limits the connections of the whole fleet to one backend
 // server. Backend servers accept about 250.
 const DefaultMaxConnections = 250
@@ -48,6 +55,9 @@
 	if o.Dialect == nil {
 		o.Dialect = DefaultDialect{}
 	}
+	if o.MaxBufferedBytes == 0 {
+		o.MaxBufferedBytes = 64 << 20
+	}
 	if o.MaxConnections == 0 {
 		o.MaxConnections = DefaultMaxConnections
 	}
@@ -65,6 +75,7 @@
 	wake    chan struct{}                    // wakes Run after a call of Warm or SetServers
 	dialer  net.Dialer
 
+	largeBytes               atomic.Int64 // of responses that are being read; see Options.MaxBufferedBytes
 	dials, staleIdle, pruned atomic.Int64
 }
 
@@ -175,7 +186,7 @@
 		return nil, err
 	}
 	t.dials.Add(1)
-	return newConn(raw), nil
+	return newConn(raw, t), nil
 }
 
 // putIdle stores c for reuse. It returns false when c must be closed instead.
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -85,3 +85,42 @@
 		})
 	}
 }
+
+// TestLargeResponsesShareMemory guards against servers that send bodies without end to
+// many requests at once, which together take up the memory of the host.
+func TestLargeResponsesShareMemory(t *testing.T) {
+	is := is.New(t)
+	const requests, size = 8, 1 << 20
+	sent := make(chan struct{}, requests)
+	s := listen(t, func(s *rawServer, conn net.Conn, r *bufio.Reader) {
+		s.readRequest(r)
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + strings.Repeat("x", size)))
+		sent <- struct{}{}
+		_, _ = r.ReadByte() // keeps the connection open until the client closes it
+	})
+	small := listen(t, respondWith(ok200, false))
+	tr := New(Options{MaxBody: 8 << 20, MaxBufferedBytes: 4 << 20})
+	ctx, cancel := context.WithCancel(context.Background())
+	results := make(chan verdict.Reason, requests)
+	for range requests {
+		go func() {
+			a := attempt(s.Addr().String(), "GET")
+			a.Timeout = time.Minute
+			res := tr.Do(ctx, a)
+			_, reason := verdict.Decide(res.Facts)
+			results <- reason
+		}()
+	}
+	refused := 0
+	for refused < requests/2-1 { // half of them fit, but for their first bytes, which are free
+		is.Equal(<-results, verdict.ReasonAnswerTooLarge)
+		refused++
+	}
+	res := tr.Do(context.Background(), attempt(small.Addr().String(), "GET"))
+	is.Equal(res.Facts.ResponseState, verdict.ResponseComplete) // small responses are not affected
+	cancel()
+	for ; refused < requests; refused++ {
+		<-results
+	}
+	is.Equal(tr.largeBytes.Load(), int64(0)) // all memory is given back
+}
--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -23,6 +23,9 @@
 	errUpgrade       = errors.New("response switches protocols")
 	errInformational = errors.New("too many informational responses")
 	errHeadTooLarge  = errors.New("the head of the response exceeds the size limit")
+	// errResponsesTooLarge means that the responses that are being read exceed
+	// Options.MaxBufferedBytes.
+	errResponsesTooLarge = errors.New("large responses take up too much memory")
 )
 
 // exchange sends one request and reads its response. The second result reports whether
@@ -30,6 +33,7 @@
 func (t *Transport) exchange(ctx context.Context, c *conn, a *filter.Attempt, deadline time.Time) (filter.Result, bool) {
 	res := filter.Result{Facts: verdict.Facts{Connected: true}}
 	c.mayHaveSent, c.broken, c.responseStarted = false, false, false
+	defer c.releaseMemory()
 	if err := c.SetDeadline(deadline); err != nil {
 		res.Err = err
 		return res, false
@@ -126,7 +130,7 @@
 	}
 	res.Err = err
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errHeadTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errHeadTooLarge), errors.Is(err, errResponsesTooLarge):
 		res.Facts.ResponseState = verdict.ResponseTooLarge
 	case c.cancelled.Load():
 		res.Facts.Cancelled = true
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -48,6 +48,10 @@
 	// copied once on its way, and with the copies the bodies take a third of the
 	// memory of the smallest hosts (184 MB).
 	maxBufferedBytes = 32 << 20
+	// maxBufferedResponseBytes bounds the large responses that are being read. Their
+	// buffers grow by doubling, and with a copy they take a third of the memory of the
+	// smallest hosts.
+	maxBufferedResponseBytes = 16 << 20
 	// maxCallerConnections bounds the connections of callers. The smallest hosts
 	// have 4,100 file descriptors, and connections to backend servers take most of
 	// the rest.
@@ -124,7 +128,7 @@
 func (h *Host) assemble() error {
 	s := h.settings
 	h.transport = backend.New(backend.Options{
-		MaxBody: maxBodyBytes, Dialect: h.adapter.Dialect, Lenient: true, IdleTimeout: backendIdleTimeout,
+		MaxBody: maxBodyBytes, Dialect: h.adapter.Dialect, Lenient: true, IdleTimeout: backendIdleTimeout, MaxBufferedBytes: maxBufferedResponseBytes,
 	})
 	if err := h.assembleMesh(); err != nil {
 		return err
