--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -55,6 +55,7 @@
 	// ManifestRevision is the revision of the item that Manifest was decoded from.
 	ManifestRevision uint64
 	Servers          map[string]Registration // by item key
+	Invalid          map[string]uint64       // revisions of the items that are not valid registrations, by item key
 	Out              map[string]bool         // data centres out of service
 }
 
