Take a refusal only for the request that it names

Cause: a faulty server may send an earlier refusal once more on a kept connection. With its request's id it was skipped, but without an id it was taken for the response to the next request: a caller was told "not run" for a request that the server runs, and an order could run at a second server. The protocol of serve has no ids at all. A connection on which a server shed a request without naming it is closed (serve; the row "shed" of TestResponseFacts expects a second connection now, since reuse is the fault).

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -117,7 +117,7 @@
 		{"304", respondWith("HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n", false), "GET", verdict.ResponseComplete, verdict.Ran, verdict.ReasonNone, false, true},
 		{"empty", respondWith(head+"Content-Length: 0\r\n\r\n", false), "GET", verdict.ResponseComplete, verdict.Ran, verdict.ReasonNone, false, true},
 		{"connection close", respondWith(head+"Connection: close\r\nContent-Length: 2\r\n\r\nok", true), "GET", verdict.ResponseComplete, verdict.Ran, verdict.ReasonNone, false, false},
-		{"shed", respondWith("HTTP/1.1 503 Shed\r\nBackend-Shed: not-run\r\nContent-Length: 0\r\n\r\n", false), "POST", verdict.ResponseShed, verdict.NotRun, verdict.ReasonShed, false, true},
+		{"shed", respondWith("HTTP/1.1 503 Shed\r\nBackend-Shed: not-run\r\nContent-Length: 0\r\n\r\n", false), "POST", verdict.ResponseShed, verdict.NotRun, verdict.ReasonShed, false, false},
 		{"503 without shed header", respondWith("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false), "POST", verdict.ResponseComplete, verdict.Ran, verdict.ReasonNone, false, true},
 		{"200 with shed header", respondWith(head+"Backend-Shed: not-run\r\nContent-Length: 0\r\n\r\n", false), "POST", verdict.ResponseComplete, verdict.Ran, verdict.ReasonNone, false, true},
 		{"truncated shed", respondWith("HTTP/1.1 503 Shed\r\nBackend-Shed: not-run\r\nContent-Length: 5\r\n\r\nno", true), "POST", verdict.ResponseTruncated, verdict.MayHaveRun, verdict.ReasonAnswerCut, true, false},
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -29,6 +29,7 @@
 	responseBytes int64      // read of the current response, and those before it in this exchange
 	largeBytes    int64      // of these, counted in transport.largeBytes
 
+	used            bool        // a request was sent on it
 	mayHaveSent     bool        // a byte of the current request may have been sent
 	broken          bool        // the backend server closed or reset the connection
 	responseStarted bool        // a byte of the response was received
--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -31,7 +31,8 @@
 // exchange sends one request and reads its response. The second result reports whether
 // the connection may be reused.
 func (t *Transport) exchange(ctx context.Context, c *conn, a *filter.Attempt, deadline time.Time) (filter.Result, bool) {
-	res := filter.Result{Facts: verdict.Facts{Connected: true}}
+	res := filter.Result{Facts: verdict.Facts{Connected: true}, Reused: c.used}
+	c.used = true
 	c.mayHaveSent, c.broken, c.responseStarted = false, false, false
 	defer c.releaseMemory()
 	if err := c.SetDeadline(deadline); err != nil {
@@ -76,6 +77,9 @@
 		return res, false
 	}
 	reuse := stop() && !resp.ConnectionClose() && !res.TrailingBytes
+	if res.Facts.ResponseState == verdict.ResponseShed && !res.Identified {
+		reuse = false // the server may send it once more, in response to another request
+	}
 	if timeout, ok := keepAliveTimeout(resp); ok {
 		c.expires = time.Now().Add(timeout)
 	}
--- a/internal/filter/ports.go
+++ b/internal/filter/ports.go
@@ -64,6 +64,8 @@
 	ServiceTime   time.Duration // first byte written to last byte read
 	Reset         bool          // the peer closed or reset the connection while the request ran
 	Load          *ServerLoad   // load that the response reported; nil if none
+	Reused        bool          // earlier requests were sent on the connection
+	Identified    bool          // the response names the request that it belongs to
 	TrailingBytes bool          // bytes that belong to no request arrived as well; the connection is not reused
 	Err           error         // detail for logs; may be nil
 }
