Send nothing to a server that says in a response that it leaves

Only the store's entry was regarded, which may come later or not at all. Change: such a response excludes the server on this host for good, since the process does not return, and probes tell the other hosts in readings, of which the newest counts. A reading is not kept: a delayed one of the process before must not exclude a restarted one.

--- a/internal/controller/measures/heartbeats.go
+++ b/internal/controller/measures/heartbeats.go
@@ -136,7 +136,7 @@
 func toWire(name string, r *load.Reading, now clock.Time) wire.Reading {
 	w := wire.Reading{
 		Server: wire.ServerHash(name), Running: uint16(r.Running), Waiting: uint16(r.Waiting), Slots: uint16(r.Slots),
-		Speed: uint16(min(100*r.Speed, 60000)), Unhealthy: r.Unhealthy, Silent: r.Silent,
+		Speed: uint16(min(100*r.Speed, 60000)), Unhealthy: r.Unhealthy, Silent: r.Silent, Leaving: r.Leaving,
 		AgeMillis: uint32(now.Sub(r.At) / time.Millisecond),
 	}
 	if now.Before(r.ColdUntil) {
@@ -152,7 +152,7 @@
 	r := load.Reading{
 		At:      now.Add(-time.Duration(w.AgeMillis) * time.Millisecond),
 		Running: int(w.Running), Waiting: int(w.Waiting), Slots: int(w.Slots),
-		Speed: float64(w.Speed) / 100, Unhealthy: w.Unhealthy, Silent: w.Silent,
+		Speed: float64(w.Speed) / 100, Unhealthy: w.Unhealthy, Silent: w.Silent, Leaving: w.Leaving,
 		RateLimit: float64(w.RateLimit) / 1000,
 	}
 	if w.ColdMillis > 0 {
--- a/internal/filter/ports.go
+++ b/internal/filter/ports.go
@@ -77,6 +77,7 @@
 	Cold                    time.Duration // remaining time of a cold start; 0 when warm
 	Instance                string        // process that sent the response, or ""
 	InstanceOnly            bool          // only Instance was reported
+	Leaving                 bool          // the server finishes its requests and takes no new ones
 	RateLimit               float64       // requests per second that the server takes from all hosts together; 0: no limit
 }
 
--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -165,7 +165,7 @@
 	meanSpeed := p.speed.get(x.Service.Name).get(1)
 	var bestCold placement.Choice
 	for i, s := range servers {
-		if s.Load.Suspended(now) || contains(x.Tried, s.Name) {
+		if s.Load.Suspended(now) || s.Load.Leaving() || contains(x.Tried, s.Name) {
 			continue
 		}
 		e := s.Load.Estimate(now, meanSpeed, s.Slots)
@@ -258,6 +258,9 @@
 	if r.Reason == verdict.ReasonConnectFailed {
 		s.Load.SuspendUntil(now.Add(connectFailureSuspension))
 	}
+	if r.Load != nil && r.Load.Leaving {
+		s.Load.MarkLeaving()
+	}
 	if r.Load != nil && !r.Load.InstanceOnly {
 		s.Load.Observe(ReadingOf(r.Load, now))
 		p.speed.get(s.Service).addToMean(r.Load.Speed, speedWeight, 1)
--- a/internal/filters/placement_test.go
+++ b/internal/filters/placement_test.go
@@ -284,3 +284,23 @@
 	}
 	is.True(len(seen) > 75)
 }
+
+// TestLeavingServerGetsNothing guards against requests to a server that has said in a
+// response that it leaves, while the platform does not list it as leaving, and against
+// a later reading that hides it.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	is := is.New(t)
+	now := &clock.Manual{}
+	now.Advance(time.Minute)
+	for _, v := range []verdict.Verdict{verdict.Ran, verdict.NotRun} {
+		p, servers := newTestPlacement(now, 1, 0, false)
+		x := &filter.Exchange{}
+		is.Equal(placeRequest(p, now.Now(), x).Verdict, verdict.Ran)
+		p.Release(x.Grant, filter.Report{Verdict: v, Load: &filter.ServerLoad{Slots: 4, Speed: 1, Leaving: true}})
+		servers[0].Load.Observe(load.Reading{At: now.Now() + 1, Slots: 4, Speed: 1}) // taken before it left
+		is.Equal(placeRequest(p, now.Now(), &filter.Exchange{}).Reason, verdict.ReasonNoBackend)
+	}
+	p, servers := newTestPlacement(now, 1, 0, false)
+	servers[0].Load.Observe(load.Reading{At: now.Now() + 1, Slots: 4, Speed: 1, Leaving: true}) // from another host
+	is.Equal(placeRequest(p, now.Now(), &filter.Exchange{}).Reason, verdict.ReasonNoBackend)
+}
--- a/internal/filters/reading.go
+++ b/internal/filters/reading.go
@@ -8,7 +8,7 @@
 
 // ReadingOf returns the load that a response reported, as a reading taken at now.
 func ReadingOf(l *filter.ServerLoad, now clock.Time) load.Reading {
-	r := load.Reading{At: now, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Speed: l.Speed, RateLimit: l.RateLimit}
+	r := load.Reading{At: now, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Speed: l.Speed, RateLimit: l.RateLimit, Leaving: l.Leaving}
 	if l.Cold > 0 {
 		r.ColdUntil = now.Add(l.Cold)
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -23,6 +23,7 @@
 	ColdUntil   clock.Time // end of the cold start; 0 if warm
 	Unhealthy   bool       // the health check failed
 	Silent      bool       // the server did not respond to the probe
+	Leaving     bool       // the server finishes its requests and takes no new ones
 	RateLimit   float64    // requests per second that the server takes from all hosts together; 0: no limit
 	ownInflight int32      // this host's requests in flight when the reading arrived
 }
@@ -58,6 +59,7 @@
 	slowdown       atomic.Pointer[decayingValue]
 	others         atomic.Uint64 // mean number of other hosts' requests in readings; float64 bits
 	suspendedUntil atomic.Int64  // clock.Time
+	leaving        atomic.Bool
 	outcomeCounts  outcomeCounts
 	// Cold limits this host's requests to the server while it is cold.
 	Cold Window
@@ -142,6 +144,17 @@
 // Suspended reports whether the server is excluded from placement at now.
 func (s *State) Suspended(now clock.Time) bool { return int64(now) < s.suspendedUntil.Load() }
 
+// MarkLeaving records that the server said to this host that it is leaving. It stays so:
+// a process that leaves does not return, and another one gets another State.
+func (s *State) MarkLeaving() { s.leaving.Store(true) }
+
+// Leaving reports whether the server said that it is leaving, to this host or in its
+// newest reading.
+func (s *State) Leaving() bool {
+	r := s.reading.Load()
+	return s.leaving.Load() || r != nil && r.Leaving
+}
+
 // UpdateFailureRate adds the results of n requests to the failure rate; failed is the
 // number of those without a usable response.
 func (s *State) UpdateFailureRate(now clock.Time, n, failed int) {
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -54,6 +54,7 @@
 	// RateLimit is the number of requests in 1000 s that the server takes from all
 	// hosts together; 0: no limit.
 	RateLimit uint32 `cbor:"10,keyasint,omitempty"`
+	Leaving   bool   `cbor:"11,keyasint,omitempty"`
 }
 
 // Outcome counts the results of the sender's requests at one backend server since
