Send nothing to a server for as long as it asks this host to stay away

The header was not read; the server got fewer requests by its failure rate only. Change: Retry-After of a 503 or 429 excludes the server on this host until then, also from probes; requests that no other server can take are refused at once with a time to retry.

--- a/internal/controller/measures/measures.go
+++ b/internal/controller/measures/measures.go
@@ -216,7 +216,7 @@
 				return
 			}
 		}
-		if w.c.cfg.Clock.Now().Before(w.nextProbe) {
+		if now := w.c.cfg.Clock.Now(); now.Before(w.nextProbe) || w.server.Load.Declined(now) {
 			continue
 		}
 		service := w.service()
@@ -266,6 +266,9 @@
 		return
 	}
 	now := c.cfg.Clock.Now()
+	if res.RetryAfter > 0 {
+		s.Load.DeclineUntil(now.Add(res.RetryAfter))
+	}
 	if w.budget != nil {
 		w.budget.SpendBytes(requestBytes + len(service.HealthPath) + responseSize(&res))
 	}
--- a/internal/filter/ports.go
+++ b/internal/filter/ports.go
@@ -32,6 +32,7 @@
 	Failed      bool          // server error, truncated or missing response
 	Crashed     bool          // the connection was reset while the request ran
 	Load        *ServerLoad   // load that the response reported; nil if none
+	RetryAfter  time.Duration // the server wants nothing from this host for so long; 0: not said
 }
 
 // Releaser releases grants.
@@ -64,6 +65,7 @@
 	ServiceTime   time.Duration // first byte written to last byte read
 	Reset         bool          // the peer closed or reset the connection while the request ran
 	Load          *ServerLoad   // load that the response reported; nil if none
+	RetryAfter    time.Duration // the server refused the request and wants nothing from this host for so long; 0: not said
 	Reused        bool          // earlier requests were sent on the connection
 	Identified    bool          // the response names the request that it belongs to
 	TrailingBytes bool          // bytes that belong to no request arrived as well; the connection is not reused
--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -99,7 +99,7 @@
 }
 
 func report(v verdict.Verdict, reason verdict.Reason, res *filter.Result) filter.Report {
-	r := filter.Report{Verdict: v, Reason: reason, ServiceTime: res.ServiceTime, Crashed: res.Reset, Load: res.Load}
+	r := filter.Report{Verdict: v, Reason: reason, ServiceTime: res.ServiceTime, Crashed: res.Reset, Load: res.Load, RetryAfter: res.RetryAfter}
 	r.Failed = v == verdict.MayHaveRun && reason != verdict.ReasonCallerGone || reason == verdict.ReasonConnectFailed
 	if res.Response != nil {
 		r.Failed = r.Failed || res.Response.Status >= 500 && v == verdict.Ran
--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -168,6 +168,10 @@
 		if s.Load.Suspended(now) || s.Load.Leaving() || contains(x.Tried, s.Name) {
 			continue
 		}
+		if s.Load.Declined(now) {
+			full = true
+			continue
+		}
 		e := s.Load.Estimate(now, meanSpeed, s.Slots)
 		if e.Silent {
 			continue
@@ -258,6 +262,9 @@
 	if r.Reason == verdict.ReasonConnectFailed {
 		s.Load.SuspendUntil(now.Add(connectFailureSuspension))
 	}
+	if r.RetryAfter > 0 {
+		s.Load.DeclineUntil(now.Add(r.RetryAfter))
+	}
 	if r.Load != nil && r.Load.Leaving {
 		s.Load.MarkLeaving()
 	}
--- a/internal/filters/placement_test.go
+++ b/internal/filters/placement_test.go
@@ -304,3 +304,30 @@
 	servers[0].Load.Observe(load.Reading{At: now.Now() + 1, Slots: 4, Speed: 1, Leaving: true}) // from another host
 	is.Equal(placeRequest(p, now.Now(), &filter.Exchange{}).Reason, verdict.ReasonNoBackend)
 }
+
+// TestRetryAfterOfServer guards against requests to a server before the time has passed
+// for which it asked this host to stay away, and against a shorter time that replaces a
+// longer one.
+func TestRetryAfterOfServer(t *testing.T) {
+	is := is.New(t)
+	now := &clock.Manual{}
+	now.Advance(time.Minute)
+	p, _ := newTestPlacement(now, 1, 0, false)
+	for _, after := range []time.Duration{3 * time.Second, time.Second} {
+		x := &filter.Exchange{}
+		if after == 3*time.Second {
+			is.Equal(placeRequest(p, now.Now(), x).Verdict, verdict.Ran)
+			p.Release(x.Grant, filter.Report{Verdict: verdict.NotRun, Reason: verdict.ReasonShed, RetryAfter: after})
+		} else {
+			p.Store.Load().Servers.ByName["b0"].Load.DeclineUntil(now.Now().Add(after))
+		}
+	}
+	for range 29 {
+		now.Advance(100 * time.Millisecond)
+		out := placeRequest(p, now.Now(), &filter.Exchange{})
+		is.Equal(out.Reason, verdict.ReasonOverload)
+		is.True(out.RetryAfter > 0)
+	}
+	now.Advance(100 * time.Millisecond)
+	is.Equal(placeRequest(p, now.Now(), &filter.Exchange{}).Verdict, verdict.Ran)
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -59,6 +59,7 @@
 	slowdown       atomic.Pointer[decayingValue]
 	others         atomic.Uint64 // mean number of other hosts' requests in readings; float64 bits
 	suspendedUntil atomic.Int64  // clock.Time
+	declinedUntil  atomic.Int64  // clock.Time
 	leaving        atomic.Bool
 	outcomeCounts  outcomeCounts
 	// Cold limits this host's requests to the server while it is cold.
@@ -144,6 +145,19 @@
 // Suspended reports whether the server is excluded from placement at now.
 func (s *State) Suspended(now clock.Time) bool { return int64(now) < s.suspendedUntil.Load() }
 
+// DeclineUntil records that the server wants nothing from this host until then.
+func (s *State) DeclineUntil(until clock.Time) {
+	for {
+		old := s.declinedUntil.Load()
+		if int64(until) <= old || s.declinedUntil.CompareAndSwap(old, int64(until)) {
+			return
+		}
+	}
+}
+
+// Declined reports whether the server wants nothing from this host at now.
+func (s *State) Declined(now clock.Time) bool { return int64(now) < s.declinedUntil.Load() }
+
 // MarkLeaving records that the server said to this host that it is leaving. It stays so:
 // a process that leaves does not return, and another one gets another State.
 func (s *State) MarkLeaving() { s.leaving.Store(true) }
