Tell callers of a crashing request when its refusal ends

Cause: a request that is refused because it crashes servers was refused with the default of 200 ms until the next try, so its caller tried again and again. Change: Retry-After is the time until the refusal ends. Result: TestPoisonAttempts checks it; it failed before (0 is not 4 ns).

--- a/internal/filters/poison.go
+++ b/internal/filters/poison.go
@@ -37,7 +37,9 @@
 		if x.Crashed {
 			return filter.Unknown(verdict.ReasonSuspect, nil) // the previous attempt may have run
 		}
-		return filter.Refuse(verdict.ReasonSuspect, nil)
+		out := filter.Refuse(verdict.ReasonSuspect, nil)
+		out.RetryAfter = p.Store.Load().PoisonRequests.ByFingerprint[x.Fingerprint].Expires.Sub(p.Clock.Now())
+		return out
 	}
 	x.CrashRetry = false
 	listed, wasListed := p.Store.Load().PoisonRequests.ByFingerprint[x.Fingerprint]
--- a/internal/filters/poison_test.go
+++ b/internal/filters/poison_test.go
@@ -80,6 +80,9 @@
 			}
 			is.Equal(reached, c.reached)
 			is.Equal(refusal{out.Verdict, out.Reason}, c.last)
+			if out.Verdict == verdict.NotRun {
+				is.Equal(out.RetryAfter, c.listed.Expires.Sub(5)) // until the refusal ends
+			}
 			if rep.crashed > 0 {
 				is.Equal(rep.server, "s1")
 				is.True(rep.wantedRetry)
