Notify hosts that become alive of refused requests (serve)

Change: when a member becomes alive, or has a new incarnation, the hosts that see it send it the requests that are refused, with the age of their last crash. Result: TestNewMemberLearnsOfRefusals failed before (0 is not 2) and passes now; the tests of the package pass with the race detector.

--- a/internal/controller/poisonrequests/announce.go
+++ b/internal/controller/poisonrequests/announce.go
@@ -10,6 +10,7 @@
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/peer"
 	"github.com/anvilfront/anvilfront/internal/poison"
+	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/wire"
 )
 
@@ -24,6 +25,8 @@
 	// maxNameLength is the maximum length in bytes of a name from another entry
 	// host.
 	maxNameLength = 64
+	// maxAge is the greatest age of a crash in an update; refusals end earlier.
+	maxAge = time.Hour
 )
 
 // noticeMethod is the RPC method of a notice.
@@ -82,8 +85,7 @@
 		c.decide(b.claims, func(uint64) bool { return false })
 		return
 	}
-	req := &wire.PoisonNoticeRequest{Suspects: list[:min(len(list), maxUpdates)]}
-	req.Version, req.From, req.Incarnation = wire.Version, snap.Members.Self.Name, snap.Members.Self.Incarnation
+	req := newNotice(snap, list)
 	replies := make(chan *wire.PoisonNoticeReply, len(addresses))
 	for _, address := range addresses {
 		c.wg.Go(func() { replies <- c.notify(ctx, address, req) })
@@ -91,6 +93,42 @@
 	c.wg.Go(func() { c.collectReplies(ctx, b.claims, len(addresses), replies) })
 }
 
+func newNotice(snap *state.Snapshot, list []wire.PoisonUpdate) *wire.PoisonNoticeRequest {
+	req := &wire.PoisonNoticeRequest{Suspects: list[:min(len(list), maxUpdates)]}
+	req.Version, req.From, req.Incarnation = wire.Version, snap.Members.Self.Name, snap.Members.Self.Incarnation
+	return req
+}
+
+// notifyNewMembers sends the requests that are refused to hosts that have become alive:
+// they were started, or were cut off, after the crashes had been announced.
+func (c *Controller) notifyNewMembers(ctx context.Context) {
+	snap := c.cfg.Store.Load()
+	alive := make(map[string]uint64, len(snap.Members.ByName))
+	var addresses []string
+	for name, m := range snap.Members.ByName {
+		if !m.Alive || name == snap.Members.Self.Name {
+			continue
+		}
+		alive[name] = m.Incarnation
+		if incarnation, known := c.alive[name]; !known || incarnation != m.Incarnation {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	c.alive = alive
+	if len(addresses) == 0 || c.cfg.Caller == nil {
+		return
+	}
+	var updates []poison.Update
+	c.table.Refusals(c.cfg.Clock.Now(), func(u poison.Update, _ clock.Time) { updates = append(updates, u) })
+	if len(updates) == 0 {
+		return
+	}
+	req := newNotice(snap, c.toWire(updates))
+	for _, address := range addresses {
+		c.wg.Go(func() { c.notify(ctx, address, req) })
+	}
+}
+
 // notify calls one host, and calls it a second time when the call failed or has no
 // reply after resendDelay. It returns nil when both calls failed.
 func (c *Controller) notify(ctx context.Context, address string, req *wire.PoisonNoticeRequest) *wire.PoisonNoticeReply {
@@ -192,22 +230,24 @@
 		list[i] = wire.PoisonUpdate{
 			Fingerprint: u.Fingerprint, Crashes: u.Crashes, RetryUsed: u.RetryUsed, Cleared: u.Cleared,
 			TTLMillis: c.cfg.Policy.MaxRefusalTime.Milliseconds(), Origin: u.Origin, Sequence: u.Sequence, Server: u.Server,
+			AgeMillis: u.Age.Milliseconds(),
 		}
 	}
 	return list
 }
 
 // fromWire converts updates and drops those that no entry host sends. Times follow
-// from the policy of the receiver, not from the clock of the sender.
+// from the policy of the receiver and the age of the crash, not from the clock of the
+// sender.
 func fromWire(list []wire.PoisonUpdate) []poison.Update {
 	updates := make([]poison.Update, 0, len(list))
 	for _, s := range list {
-		if s.Origin == "" || len(s.Origin) > maxNameLength+poison.MaxOriginSuffix || len(s.Server) > maxNameLength || s.Crashes < 0 || s.TTLMillis <= 0 {
+		if s.Origin == "" || len(s.Origin) > maxNameLength+poison.MaxOriginSuffix || len(s.Server) > maxNameLength || s.Crashes < 0 || s.TTLMillis <= 0 || s.AgeMillis < 0 || s.AgeMillis > maxAge.Milliseconds() {
 			continue
 		}
 		updates = append(updates, poison.Update{
 			Fingerprint: s.Fingerprint, Origin: s.Origin, Sequence: s.Sequence, Crashes: s.Crashes,
-			RetryUsed: s.RetryUsed, Cleared: s.Cleared, Server: s.Server,
+			RetryUsed: s.RetryUsed, Cleared: s.Cleared, Server: s.Server, Age: time.Duration(s.AgeMillis) * time.Millisecond,
 		})
 	}
 	return updates
--- a/internal/controller/poisonrequests/poisonrequests.go
+++ b/internal/controller/poisonrequests/poisonrequests.go
@@ -62,7 +62,10 @@
 	table   *poison.Table // used only by the goroutine of Run
 	events  chan event
 	notices tokenBucket
-	wg      conc.WaitGroup
+	// alive holds the incarnations of the entry hosts that were alive when the members
+	// changed last, by name.
+	alive map[string]uint64
+	wg    conc.WaitGroup
 
 	crashes, cleared, granted, denied, dropped, unannounced, entries *expvar.Int
 }
@@ -151,9 +154,13 @@
 	defer expiry.Stop()
 	for {
 		b := &batch{}
+		changed := c.cfg.Store.Changed()
+		c.notifyNewMembers(ctx)
 		select {
 		case <-ctx.Done():
 			return
+		case <-changed:
+			continue
 		case <-expiry.C:
 			b.changed = c.table.Expire(c.cfg.Clock.Now())
 		case e := <-c.events:
--- a/internal/controller/poisonrequests/poisonrequests_test.go
+++ b/internal/controller/poisonrequests/poisonrequests_test.go
@@ -124,3 +124,28 @@
 	cancel()
 	wg.Wait()
 }
+
+// TestNewMemberLearnsOfRefusals guards against a host that was started or cut off after
+// the crashes of a request were announced, and runs it again.
+func TestNewMemberLearnsOfRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, ctx := is.New(t), context.Background()
+		a, b, stop := pair(0)
+		defer stop()
+		members := a.store.Load().Members
+		a.store.Update(func(s *state.Snapshot) {
+			s.Members = &state.Members{Self: members.Self, ByName: map[string]*state.Member{"a": members.ByName["a"]}}
+		})
+		a.c.Crashed(ctx, 1, "s1", false)
+		a.c.Crashed(ctx, 1, "s2", false)
+		time.Sleep(10 * time.Second)
+		is.Equal(len(b.store.Load().PoisonRequests.ByFingerprint), 0)
+		a.store.Update(func(s *state.Snapshot) { s.Members = members })
+		time.Sleep(time.Second)
+		is.Equal(b.store.Load().PoisonRequests.ByFingerprint[1].Crashes, 2)
+		expires := func(h *host) time.Duration {
+			return h.store.Load().PoisonRequests.ByFingerprint[1].Expires.Sub(h.c.cfg.Clock.Now()).Round(time.Second)
+		}
+		is.Equal(expires(b), expires(a)) // the refusal ends everywhere at the same time
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -49,6 +49,7 @@
 	Origin      string // process of the entry host that observed the crash
 	Sequence    uint64 // per origin, so that older updates do not replace newer ones
 	Server      string // backend server that crashed
+	AgeMillis   int64  // since the crash; 0 from older hosts
 }
 
 // PoisonNoticeRequest reports request fingerprints that crashed backend servers
