--- a/internal/controller/crashes/replay_test.go
+++ b/internal/controller/crashes/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -64,6 +65,8 @@
 
 const replayServers = 24
 
+var replaySeeds = flag.Uint64("seeds", 10, "number of seeds with which each day is replayed")
+
 // down returns until when a server is down.
 func (r *replay) down(server string) time.Time {
 	r.mu.Lock()
@@ -227,7 +230,7 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(10) {
+			for seed := range *replaySeeds {
 				var sends, late int
 				synctest.Test(t, func(t *testing.T) {
 					r := &replay{rng: rand.New(rand.NewPCG(seed, 1)), hosts: make([]*replayHost, 16), downUntil: map[string]time.Time{}, bystanders: c.bystanders, loss: c.loss}
--- a/internal/controller/measures/limited_test.go
+++ b/internal/controller/measures/limited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -138,90 +139,105 @@
 	})
 }
 
+var replaySeeds = flag.Uint64("seeds", 3, "number of seeds with which each day is played")
+
 // TestServerLimitHoldsOverTheFleet guards against hosts that together send a server
 // more than the rate limit it names, while hosts are killed and started, and against a
 // limit that is not used.
 func TestServerLimitHoldsOverTheFleet(t *testing.T) {
-	for name, c := range map[string]struct {
-		hosts, servers int
-		limited        float64 // share of the servers that name a limit
-		perSecond      float64
-		kills          bool
-	}{
+	for name, c := range map[string]limitDayConfig{
 		"Calm":       {16, 20, 0.7, 90, false},
 		"Kills":      {16, 20, 0.7, 90, true},
 		"AllLimited": {16, 20, 1, 90, true},
 		"ManyHosts":  {60, 80, 0.7, 400, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			seed := uint64(1)
-			p := &limitDayPlay{rng: rand.New(rand.NewPCG(seed, 1)), hosts: make([]*limitHost, c.hosts), ends: map[clock.Time][]func(){}, running: make([]int, c.servers), sent: make([][]clock.Time, c.servers)}
-			for n := range c.servers {
-				limit := 0.0
-				if float64(n) < c.limited*float64(c.servers) {
-					limit = meanRateLimit * (0.4 + 1.2*p.rng.Float64())
+			for seed := range *replaySeeds {
+				playLimitDay(t, c, seed)
+			}
+		})
+	}
+}
+
+// limitDayConfig is one day.
+type limitDayConfig struct {
+	hosts, servers int
+	limited        float64 // share of the servers that name a limit
+	perSecond      float64 // requests
+	kills          bool    // of hosts, which start again
+}
+
+func playLimitDay(t *testing.T, c limitDayConfig, seed uint64) {
+	p := &limitDayPlay{rng: rand.New(rand.NewPCG(seed, 1)), hosts: make([]*limitHost, c.hosts), ends: map[clock.Time][]func(){}, running: make([]int, c.servers), sent: make([][]clock.Time, c.servers)}
+	for n := range c.servers {
+		limit := 0.0
+		if float64(n) < c.limited*float64(c.servers) {
+			limit = meanRateLimit * (0.4 + 1.2*p.rng.Float64())
+		}
+		p.limits = append(p.limits, limit)
+	}
+	for i := range p.hosts {
+		p.start(i)
+	}
+	restartAt := map[int]int{} // host by step
+	for step := range int(limitDay / limitStep) {
+		p.now.Advance(limitStep)
+		for _, end := range p.ends[p.now.Now()] {
+			end()
+		}
+		delete(p.ends, p.now.Now())
+		if step%limitTick == 0 {
+			for _, h := range p.hosts {
+				if h.started >= h.killed {
+					p.observe(h)
 				}
-				p.limits = append(p.limits, limit)
 			}
-			for i := range p.hosts {
-				p.start(i)
+		}
+		if c.kills && step%300 == 299 {
+			i := p.rng.IntN(c.hosts)
+			p.hosts[i].killed = p.now.Now()
+			restartAt[step+int(hostDownTime/limitStep)] = i
+		}
+		if i, ok := restartAt[step]; ok {
+			p.start(i)
+		}
+		for n := c.perSecond * limitStep.Seconds(); p.rng.Float64() < n; n-- {
+			if h := p.hosts[p.rng.IntN(c.hosts)]; h.started >= h.killed {
+				p.request(h)
 			}
-			restartAt := map[int]int{} // host by step
-			for step := range int(limitDay / limitStep) {
-				p.now.Advance(limitStep)
-				for _, end := range p.ends[p.now.Now()] {
-					end()
-				}
-				delete(p.ends, p.now.Now())
-				if step%limitTick == 0 {
-					for _, h := range p.hosts {
-						if h.started >= h.killed {
-							p.observe(h)
-						}
-					}
-				}
-				if c.kills && step%300 == 299 {
-					i := p.rng.IntN(c.hosts)
-					p.hosts[i].killed = p.now.Now()
-					restartAt[step+int(hostDownTime/limitStep)] = i
-				}
-				if i, ok := restartAt[step]; ok {
-					p.start(i)
-				}
-				for n := c.perSecond * limitStep.Seconds(); p.rng.Float64() < n; n-- {
-					if h := p.hosts[p.rng.IntN(c.hosts)]; h.started >= h.killed {
-						p.request(h)
-					}
-				}
+		}
+	}
+	used, usable := p.check(t, seed)
+	switch {
+	case c.limited == 1 && float64(used) < 0.6*usable:
+		t.Errorf("seed %d: %d requests to limited servers, their limits allow %.0f", seed, used, usable)
+	case c.limited < 1 && p.refused > 0:
+		t.Errorf("seed %d: %d requests refused although servers without a limit had room", seed, p.refused)
+	}
+}
+
+// check fails the test if a server got more than it has to bear. It returns the number
+// of requests to limited servers, and how many their limits allow.
+func (p *limitDayPlay) check(t *testing.T, seed uint64) (used int, usable float64) {
+	for n, limit := range p.limits {
+		if limit == 0 {
+			continue
+		}
+		var window []clock.Time
+		for _, at := range p.sent[n] {
+			if at.Sub(0) < limitBinds {
+				continue
 			}
-			used, usable := 0, 0.0
-			for n, limit := range p.limits {
-				if limit == 0 {
-					continue
-				}
-				var window []clock.Time
-				for _, at := range p.sent[n] {
-					if at.Sub(0) < limitBinds {
-						continue
-					}
-					used++
-					window = append(window, at)
-					for at.Sub(window[0]) > limitWindow {
-						window = window[1:]
-					}
-					if allowed := 1.5*limit*limitWindow.Seconds() + 5; float64(len(window)) > allowed {
-						t.Fatalf("server with a limit of %.1f a second got %d requests in %v, %.0f allowed", limit, len(window), limitWindow, allowed)
-					}
-				}
-				usable += limit * (limitDay - limitBinds).Seconds()
+			used++
+			window = append(window, at)
+			for at.Sub(window[0]) > limitWindow {
+				window = window[1:]
 			}
-			t.Logf("%d requests to limited servers, their limits allow %.0f; %d refused", used, usable, p.refused)
-			switch {
-			case c.limited == 1 && float64(used) < 0.6*usable:
-				t.Errorf("%d requests to limited servers, their limits allow %.0f", used, usable)
-			case c.limited < 1 && p.refused > 0:
-				t.Errorf("%d requests refused although servers without a limit had room", p.refused)
+			if allowed := 1.5*limit*limitWindow.Seconds() + 5; float64(len(window)) > allowed {
+				t.Fatalf("seed %d: server with a limit of %.1f a second got %d requests in %v, %.0f allowed", seed, limit, len(window), limitWindow, allowed)
 			}
-		})
+		}
+		usable += limit * (limitDay - limitBinds).Seconds()
 	}
+	return used, usable
 }
