Never drop the result of a connection test

Cause: found on reading: the result went through the queue that drops when it is full. The server then counted as being tested for good, and 16 such ended all tests. Change: results have a channel with room for each test in progress. Result: TestFullQueueKeepsTestingConnections guards it; the code before has no channel to wait on (its queue was full, and the result dropped).

--- a/internal/controller/crashes/crashes.go
+++ b/internal/controller/crashes/crashes.go
@@ -77,6 +77,12 @@
 	at          clock.Time
 }
 
+// connectionTest is the result of a connection attempt.
+type connectionTest struct {
+	server  *state.Server
+	refused bool
+}
+
 // outgoingUpdate is an update that is sent in heartbeats.
 type outgoingUpdate struct {
 	update poison.Update
@@ -94,6 +100,7 @@
 	cfg      Config
 	log      *zap.Logger
 	queue    chan func(ctx context.Context)   // executed by Run's goroutine
+	tested   chan connectionTest              // holds a result of each test that is in progress
 	outgoing atomic.Pointer[[]outgoingUpdate] // immutable
 	refusals atomic.Pointer[[]outgoingUpdate] // requests that are refused; immutable
 
@@ -113,6 +120,7 @@
 func New(cfg Config) *Controller {
 	c := &Controller{
 		cfg: cfg, log: cfg.Log.Named("crashes"), queue: make(chan func(context.Context), queueLength), testing: map[string]bool{},
+		tested:  make(chan connectionTest, maxConnectionTests),
 		table:   poison.New(Policy(), cfg.Self),
 		dropped: cfg.Counters.Int("crashes.dropped"), confirmed: cfg.Counters.Int("crashes.confirmed"),
 		unconfirmedCount: cfg.Counters.Int("crashes.unconfirmed"), received: cfg.Counters.Int("crashes.received"),
@@ -153,16 +161,19 @@
 	}
 	c.testing[s.Name] = true
 	c.background.Go(func() {
-		refused := c.cfg.RefusesConnections(ctx, s.Address)
-		c.enqueue(func(context.Context) {
-			delete(c.testing, s.Name)
-			if refused {
-				c.confirmWhere(func(crash unconfirmedCrash) bool { return crash.server.Name == s.Name && crash.server.Born == s.Born })
-			}
-		})
+		c.tested <- connectionTest{server: s, refused: c.cfg.RefusesConnections(ctx, s.Address)}
 	})
 }
 
+func (c *Controller) finishTest(t connectionTest) {
+	delete(c.testing, t.server.Name)
+	if t.refused {
+		c.confirmWhere(func(crash unconfirmedCrash) bool {
+			return crash.server.Name == t.server.Name && crash.server.Born == t.server.Born
+		})
+	}
+}
+
 // confirmWhere confirms the crashes for which ended returns true.
 func (c *Controller) confirmWhere(ended func(unconfirmedCrash) bool) (any bool) {
 	now := c.cfg.Clock.Now()
@@ -206,6 +217,8 @@
 			return
 		case f := <-c.queue:
 			f(ctx)
+		case t := <-c.tested:
+			c.finishTest(t)
 		case <-tick:
 			c.check()
 		}
--- a/internal/controller/crashes/crashes_test.go
+++ b/internal/controller/crashes/crashes_test.go
@@ -180,3 +180,25 @@
 	}
 	is.Equal(len(b.store.Load().PoisonRequests.ByFingerprint), requests)
 }
+
+// TestFullQueueKeepsTestingConnections guards against a server whose crashes are no
+// longer confirmed, because the result of a connection attempt was dropped with a full
+// queue.
+func TestFullQueueKeepsTestingConnections(t *testing.T) {
+	is := is.New(t)
+	now := &clock.Manual{}
+	now.Advance(time.Second)
+	h := newHost("a", now)
+	begun, finish := make(chan struct{}), make(chan struct{})
+	h.cfg.RefusesConnections = func(context.Context, string) bool { begun <- struct{}{}; <-finish; return true }
+	h.Crashed(context.Background(), 7, h.servers[0].Name, false)
+	h.process()
+	<-begun
+	for range 2 * queueLength {
+		h.Succeeded(1)
+	}
+	close(finish)
+	h.finishTest(<-h.tested)
+	is.Equal(h.confirmed.Value(), int64(1))
+	is.Equal(len(h.testing), 0)
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -260,9 +260,9 @@
 	}
 }
 
-// recordCrash counts the crash of a server at the given time. Several requests with the same
-// fingerprint may have been in flight on it, also from several entry hosts; they
-// count as one crash.
+// recordCrash counts the crash of a server at the given time. Several requests with
+// the same fingerprint may have been in flight on it, also from several entry hosts;
+// they count as one crash.
 func (t *Table) recordCrash(at clock.Time, e *Entry, u Update) {
 	e.recordSequence(u)
 	e.RetryUsed = e.RetryUsed || u.RetryUsed
