Count a connection as used once a request is sent

Cause: found on reading: a connection on which nothing was sent, because a check right before the first byte failed, counted as used, so that a response without an id was not believed. Change: it is used when the request is written. Result: go test ./internal/backend ./platform: ok.

--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -32,7 +32,6 @@
 // the connection may be reused.
 func (t *Transport) exchange(ctx context.Context, c *conn, a *filter.Attempt, deadline time.Time) (filter.Result, bool) {
 	res := filter.Result{Facts: verdict.Facts{Connected: true}, Reused: c.used}
-	c.used = true
 	c.mayHaveSent, c.broken, c.responseStarted = false, false, false
 	defer c.releaseMemory()
 	if err := c.SetDeadline(deadline); err != nil {
@@ -57,6 +56,7 @@
 		}
 	}
 	start := time.Now()
+	c.used = true
 	err := req.Write(c.w)
 	if err == nil {
 		err = c.w.Flush()
