Do not retry a crashing request whose refusal had ended

Cause: two requests that have their second crash on the same server are refused for 10 s only. Then the request runs again, on any host; its crash was followed by a retry at once, and by those of its caller at other hosts before they learn of it. Change: a request that is listed with two crashes or more and crashes another server is not retried. Result: TestNoRetryAfterThirdCrash failed before (2 is not 1) and passes now.

--- a/internal/filters/poison.go
+++ b/internal/filters/poison.go
@@ -69,6 +69,9 @@
 		return true
 	}
 	s, ok := p.Store.Load().PoisonRequests.ByFingerprint[x.Fingerprint]
+	if ok && x.Crashed && s.Crashes > 1 {
+		return true // its refusal had ended, and it has crashed a server again
+	}
 	if !ok || !s.Refuse || !p.Clock.Now().Before(s.Expires) {
 		return false
 	}
--- a/internal/filters/poison_test.go
+++ b/internal/filters/poison_test.go
@@ -94,6 +94,27 @@
 	}
 }
 
+// TestNoRetryAfterThirdCrash guards against a request that crashed servers, runs again
+// when its refusal has ended, and is retried at once when it crashes another one.
+func TestNoRetryAfterThirdCrash(t *testing.T) {
+	is := is.New(t)
+	clk, store := &clock.Manual{}, state.NewStore(state.Member{Name: "a"})
+	clk.Set(5)
+	p := &Poison{Clock: clk, Store: store, Reporter: &fakeReporter{}, ConfirmsCrashes: true}
+	x := &filter.Exchange{Request: &filter.Request{Path: "/"}, Route: &manifest.Route{Idempotent: true, Retries: 3}}
+	publishPoisonRequest(store, x, state.PoisonRequest{Crashes: 2, Refuse: true, Expires: 4})
+	reached := 0
+	next := filter.HandlerFunc(func(context.Context, *filter.Exchange) filter.Outcome {
+		reached++
+		return filter.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonAnswerCut, Crashed: true}
+	})
+	p.Handle(context.Background(), x, next)
+	out := p.Handle(context.Background(), x, next)
+	is.Equal(reached, 1)
+	is.Equal(out.Verdict, verdict.MayHaveRun)
+	is.Equal(out.Reason, verdict.ReasonSuspect)
+}
+
 // TestOnlyLaterSuccessClears guards against a poison request that is cleared by a
 // response that was on its way when its crash was found, or by an error response.
 func TestOnlyLaterSuccessClears(t *testing.T) {
