Send a heartbeat at once when a crash is confirmed

Cause: a host that probes no server sends heartbeats five times a second; its caller tries again at another host within some tens of milliseconds. Change: the heartbeat is flushed, as after a round of probes.

--- a/internal/controller/crashes/crashes.go
+++ b/internal/controller/crashes/crashes.go
@@ -64,6 +64,7 @@
 	// RefusesConnections tries a connection to the address and reports whether it was
 	// refused, so that no process listens there.
 	RefusesConnections func(ctx context.Context, address string) bool
+	Flush              func() // sends the next heartbeat now
 	Counters           *metrics.Counters
 	Log                *zap.Logger
 }
@@ -189,6 +190,7 @@
 	c.unconfirmed = kept
 	if any {
 		c.publish()
+		c.cfg.Flush()
 	}
 	return any
 }
--- a/internal/controller/crashes/crashes_test.go
+++ b/internal/controller/crashes/crashes_test.go
@@ -23,6 +23,7 @@
 	clock   *clock.Manual
 	store   *state.Store
 	servers []*state.Server
+	flushes int
 }
 
 func newHost(name string, t *clock.Manual) *host {
@@ -35,7 +36,7 @@
 	}
 	h.store.Update(func(s *state.Snapshot) { s.Servers = table })
 	h.Controller = New(Config{Clock: t, Store: h.store, Self: name, Counters: metrics.New(), Log: zap.NewNop(),
-		RefusesConnections: func(context.Context, string) bool { return false }})
+		RefusesConnections: func(context.Context, string) bool { return false }, Flush: func() { h.flushes++ }})
 	return h
 }
 
@@ -86,6 +87,7 @@
 	is.True(!a.refuses(7))
 	a.crash(7, 0, true)
 	is.True(!a.refuses(7)) // another request in flight may be the cause
+	is.Equal(a.flushes, 1) // other hosts are told without delay
 	a.sendHeartbeat(b)
 	is.True(!b.refuses(7))
 	b.crash(7, 1, true) // sent again, to another host
--- a/internal/controller/crashes/replay_test.go
+++ b/internal/controller/crashes/replay_test.go
@@ -18,6 +18,7 @@
 	"github.com/anvilfront/anvilfront/internal/load"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/poison"
 	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 	"github.com/anvilfront/anvilfront/internal/wire"
@@ -58,13 +59,23 @@
 	downUntil  map[string]time.Time // by server name
 	crashes    []time.Time
 	lateSends  int
-	bystanders int     // other requests in flight on each server that crashes
-	loss       float64 // share of heartbeats that are lost
-	probesDown bool    // no host probes backend servers
+	bystanders int                        // other requests in flight on each server that crashes
+	resent     map[string][]resentRequest // those of them that are sent again, by server
+	loss       float64                    // share of heartbeats that are lost
+	probesDown bool                       // no host probes backend servers
 }
 
 const replayServers = 24
 
+// otherWork is how long the other requests run.
+const otherWork = 300 * time.Millisecond
+
+// resentRequest is another request that was in flight on a server that crashed.
+type resentRequest struct {
+	fingerprint uint64
+	until       time.Time // end of its run
+}
+
 var replaySeeds = flag.Uint64("seeds", 10, "number of seeds with which each day is replayed")
 
 // down returns until when a server is down.
@@ -84,8 +95,8 @@
 	}
 	store.Update(func(s *state.Snapshot) { s.Servers = table })
 	clk := clock.NewMonotonic()
-	h.Controller = New(Config{Clock: clk, Store: store, Self: fmt.Sprint("10.0.0.", i, ":7660"), Counters: metrics.New(), Log: zap.NewNop(),
-		RefusesConnections: func(_ context.Context, server string) bool { return time.Now().Before(r.down(server)) }})
+	h.Controller = New(Config{Clock: clk, Store: store, Self: poison.Origin(fmt.Sprint("10.0.0.", i, ":7660"), r.rng.Uint64()), Counters: metrics.New(), Log: zap.NewNop(),
+		RefusesConnections: func(_ context.Context, server string) bool { return time.Now().Before(r.down(server)) }, Flush: func() {}})
 	h.chain = filter.Chain(
 		&filters.Retry{Clock: clk, Counters: metrics.New(), MaxTokens: func() float64 { return 2 }},
 		&filters.Poison{Clock: clk, Store: store, Reporter: h.Controller, ConfirmsCrashes: true},
@@ -126,8 +137,17 @@
 	r.mu.Unlock()
 	x.Grant = &filter.Grant{Server: &h.servers[name].BackendServer}
 	x.Tried = append(x.Tried, name)
+	caught := r.resent[name]
+	delete(r.resent, name)
 	for range r.bystanders {
-		r.hosts[r.rng.IntN(len(r.hosts))].Crashed(context.Background(), r.rng.Uint64(), name, false)
+		caught = append(caught, resentRequest{r.rng.Uint64(), now.Add(time.Second)})
+	}
+	for _, other := range caught {
+		if now.Before(other.until) {
+			r.hosts[r.rng.IntN(len(r.hosts))].Crashed(context.Background(), other.fingerprint, name, false)
+			next := fmt.Sprint("b", r.rng.IntN(replayServers))
+			r.resent[next] = append(r.resent[next], resentRequest{other.fingerprint, now.Add(otherWork)})
+		}
 	}
 	out := filter.Unknown(verdict.ReasonAnswerCut, nil)
 	out.Crashed = true
@@ -222,6 +242,18 @@
 				}
 			}
 		}},
+		"Everything": {interval: 0.5, loss: 0.2, bystanders: 12, step: func(r *replay, tick int) {
+			if tick > 0 && tick%seconds(4) == 0 {
+				for range 5 {
+					r.restart(r.rng.IntN(len(r.hosts)))
+				}
+			}
+			if tick%seconds(7) == 0 {
+				for range 3 {
+					r.hosts[r.rng.IntN(len(r.hosts))].cutUntil = time.Now().Add(5 * time.Second)
+				}
+			}
+		}},
 		"ManyInFlight": {interval: 0.3, bystanders: 18},
 		"NotProbed": {interval: 0.3, step: func(r *replay, tick int) {
 			if tick == 0 {
@@ -233,7 +265,7 @@
 			for seed := range *replaySeeds {
 				var sends, late int
 				synctest.Test(t, func(t *testing.T) {
-					r := &replay{rng: rand.New(rand.NewPCG(seed, 1)), hosts: make([]*replayHost, 16), downUntil: map[string]time.Time{}, bystanders: c.bystanders, loss: c.loss}
+					r := &replay{rng: rand.New(rand.NewPCG(seed, 1)), hosts: make([]*replayHost, 16), downUntil: map[string]time.Time{}, resent: map[string][]resentRequest{}, bystanders: c.bystanders, loss: c.loss}
 					for i := range r.hosts {
 						r.startHost(i)
 					}
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -155,7 +155,7 @@
 	self := h.mesh.View().Self
 	h.crashes = crashes.New(crashes.Config{
 		Clock: h.clock, Store: h.store, Self: poison.Origin(self.Address, uint64(self.Incarnation)), RefusesConnections: h.transport.RefusesConnections,
-		Counters: h.counters, Log: h.log,
+		Flush: h.mesh.Flush, Counters: h.counters, Log: h.log,
 	})
 	h.mesh.AddHandler(h.crashes)
 	h.mesh.AddHandler(h.feeds)
