Show that a request which crashes endpoints silently is never refused

Cause: an attempt counts as a crash only when its connection is reset; one that times out or is cancelled isn't reported, though probes would find the endpoint silent.

Orders of the stand-ins differ in their path now.

--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -22,6 +22,10 @@
 	slot                       chan struct{}
 	record                     *record
 	server                     *http.Server
+	onRun                      func(*http.Request) (crashed bool) // may be nil
+
+	mu      sync.Mutex
+	crashed chan struct{} // closed when the endpoint is back; nil while it runs
 }
 
 func newEndpoint(ip, id, service, zone string, slots int, work time.Duration, rec *record) (*endpoint, error) {
@@ -38,7 +42,50 @@
 	return e, nil
 }
 
+// crash makes the endpoint send nothing, neither responses nor heartbeats, until a new
+// process has its name and address.
+func (e *endpoint) crash(d *deployment, downFor time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed != nil {
+		return
+	}
+	e.crashed = make(chan struct{})
+	time.AfterFunc(downFor, func() {
+		_ = e.server.Close()
+		l, err := net.Listen("tcp", e.address)
+		if err != nil {
+			d.record.printf("endpoint  %s doesn't return: %v", e.id, err)
+			return
+		}
+		e.mu.Lock()
+		close(e.crashed)
+		e.crashed, e.born = nil, time.Now().UnixMilli()
+		e.server = &http.Server{Handler: e, IdleTimeout: 10 * time.Second}
+		server := e.server
+		e.mu.Unlock()
+		d.record.printf("endpoint  %s is back", e.id)
+		d.store.register(e, "ready")
+		_ = server.Serve(l)
+	})
+}
+
+// awaitReturn waits while the endpoint is down, and reports whether it was.
+func (e *endpoint) awaitReturn() bool {
+	e.mu.Lock()
+	crashed := e.crashed
+	e.mu.Unlock()
+	if crashed == nil {
+		return false
+	}
+	<-crashed
+	return true
+}
+
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.awaitReturn() {
+		panic(http.ErrAbortHandler) // its connection has ended
+	}
 	h := w.Header()
 	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d,100", e.busy.Load(), e.waiting.Load(), e.slots))
 	id := r.Header.Get("X-Request-Id")
@@ -74,7 +121,12 @@
 	e.waiting.Add(-1)
 	e.busy.Add(1)
 	e.record.ran(id, e.id)
-	time.Sleep(e.work)
+	if e.onRun != nil && e.onRun(r) || e.sleep() {
+		e.busy.Add(-1)
+		<-e.slot
+		e.awaitReturn()
+		panic(http.ErrAbortHandler)
+	}
 	e.busy.Add(-1)
 	<-e.slot
 	body := fmt.Sprintf("%s %s %s %d %x\n", r.Method, r.URL.RequestURI(), id, n, sum.Sum64())
@@ -82,6 +134,14 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// sleep works on a request, and reports whether the endpoint crashed meanwhile.
+func (e *endpoint) sleep() (crashed bool) {
+	time.Sleep(e.work)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed != nil
+}
+
 // record writes what happened to record.txt and counts the runs of each request.
 type record struct {
 	mu    sync.Mutex
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,11 +14,11 @@
 const maxTime = 115 * time.Second
 
 var cases = map[string]func(*deployment, bool) (int, error){
-	"memory":  memoryCase,
-	"storm":   stormCase,
-	"watch":   watchCase,
-	"removal": removalCase,
-	"nodes":   nodesCase,
+	"memory": memoryCase,
+	"storm":  stormCase,
+	"watch":  watchCase,
+	"poison": poisonCase,
+	"nodes":  nodesCase,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -44,7 +44,6 @@
 	changed   chan struct{}
 	waiting   map[string]int // waiting watches by machine
 	cut       chan struct{}  // closed when watches of refused machines are cut
-	answered  chan struct{}  // closed when a watch without changes is answered
 
 	turnAwayMax int             // machines that are refused at most
 	turnedAway  map[string]bool // machines that are refused
@@ -53,7 +52,7 @@
 func newStore(ip string) (*store, error) {
 	s := &store{
 		rev: 100, items: map[string]storeItem{}, turnedAway: map[string]bool{},
-		waiting: map[string]int{}, changed: make(chan struct{}), cut: make(chan struct{}), answered: make(chan struct{}), ip: ip,
+		waiting: map[string]int{}, changed: make(chan struct{}), cut: make(chan struct{}), ip: ip,
 	}
 	s.mux.HandleFunc("/kv-key", s.key)
 	s.mux.HandleFunc("/kv-range", s.page)
@@ -232,10 +231,6 @@
 		case <-changed:
 		case <-timeout.C:
 			respond(w, map[string]any{"events": events, "current_rev": rev})
-			s.mu.Lock()
-			close(s.answered)
-			s.answered = make(chan struct{})
-			s.mu.Unlock()
 			return
 		case <-r.Context().Done():
 			return
@@ -243,14 +238,6 @@
 	}
 }
 
-// awaitAnswer waits until a watch without changes is answered.
-func (s *store) awaitAnswer() {
-	s.mu.Lock()
-	answered := s.answered
-	s.mu.Unlock()
-	<-answered
-}
-
 func (s *store) await(r *http.Request, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/standin/watch.go
+++ b/review/standin/watch.go
@@ -94,7 +94,7 @@
 
 // order sends one order on a new connection and returns its id and status.
 func (d *deployment) order(h *host) (string, int) {
-	q := &request{id: newID("o"), method: "POST", host: "shop.example", path: "/confirm/1", deadline: 5 * time.Second, body: bytes.Repeat([]byte("x"), 1200)}
+	q := &request{id: newID("o"), method: "POST", host: "shop.example", path: "/confirm/" + newID("p"), deadline: 5 * time.Second, body: bytes.Repeat([]byte("x"), 1200)}
 	c, err := dial(h.front)
 	if err != nil {
 		return q.id, 0
