Judge the watch case by the bounds of the grown site

Cause: config_storm is named for the grown site, whose config_apply_ms and drain_ms are 2,500; the script used the 2,000 of the small one.

--- a/review/standin/nodes.go
+++ b/review/standin/nodes.go
@@ -13,7 +13,6 @@
 	nodesRefused = 12              // of 36, a share of 0.33
 	nodesTime    = 9 * time.Second // for_s
 	nodesRounds  = 3
-	nodesApply   = 2500 * time.Millisecond // config_apply_ms of the grown deployment
 )
 
 func nodesCase(d *deployment, trouble bool) (int, error) {
@@ -42,7 +41,7 @@
 		d.store.configureLong(version, "", service)
 		acknowledged := time.Now()
 		d.record.printf("operator  version r%d, which moves the route /confirm/ to %s, is acknowledged", version, service)
-		time.Sleep(nodesApply + 20*time.Millisecond)
+		time.Sleep(applyTime + 20*time.Millisecond)
 		var clients sync.WaitGroup
 		var mu sync.Mutex
 		lateAt := map[string]int{}
@@ -79,7 +78,7 @@
 		d.record.printf("store     serves all; it has refused %d machines. Hosts that it served and that were late: %d", len(refused), len(lateAt))
 		time.Sleep(6 * time.Second)
 	}
-	d.record.printf("%d orders served; %d sent more than %v after the acknowledgement to hosts that the store served were handled by the older version, the last one %v after it", served, late, nodesApply, last.Round(time.Millisecond))
+	d.record.printf("%d orders served; %d sent more than %v after the acknowledgement to hosts that the store served were handled by the older version, the last one %v after it", served, late, applyTime, last.Round(time.Millisecond))
 	d.record.printf("CONFIG: %d requests handled as only an older version allows", late)
 	if late > 0 {
 		return 1, nil
--- a/review/standin/watch.go
+++ b/review/standin/watch.go
@@ -10,12 +10,12 @@
 // The case "watch": a configuration near the largest value of the store, and a few
 // configurations in quick succession. Then a route moves to another service.
 const (
-	longList    = 4000            // routes; a value of 998 kB, of 1,048,576 bytes allowed
-	applyTime   = 2 * time.Second // config_apply_ms
+	longList    = 4000                    // routes; a value of 998 kB, of 1,048,576 bytes allowed
+	applyTime   = 2500 * time.Millisecond // config_apply_ms
 	observeTime = 30 * time.Second
 	lookupPause = 100 * time.Millisecond
-	drainTime   = 2 * time.Second // drain_ms
-	serveTime   = 4 * time.Second // for which the leaving endpoint goes on serving
+	drainTime   = 2500 * time.Millisecond // drain_ms
+	serveTime   = 4 * time.Second         // for which the leaving endpoint goes on serving
 )
 
 func watchCase(d *deployment, trouble bool) (int, error) {
