Drop the connection pools of servers that have left

Cause: the transport creates a pool for each address that it sends to, and only SetServers removed any. A host that is configured by a feed never calls it, so that each address that ever got a request or a probe kept its pool until the process ended.

Change: pruning drops a pool that has been without connections for the idle timeout, unless SetServers listed its server.

--- a/internal/backend/maintain.go
+++ b/internal/backend/maintain.go
@@ -35,7 +35,9 @@
 		}
 	})
 	for address, p := range *t.pools.Load() {
-		if s, ok := wanted[address]; ok {
+		s, ok := wanted[address]
+		p.listed.Store(ok)
+		if ok {
 			p.limit.Store(int64(max(1, s.MaxConnections)))
 			p.dialRate.Store(int64(s.DialsPerSecond * 1000))
 		}
@@ -158,8 +160,9 @@
 }
 
 // prune closes idle connections that the server closed, that reached the idle timeout,
-// or that exceed the connection limit.
+// or that exceed the connection limit, and drops unused pools.
 func (t *Transport) prune(nextDial map[*pool]time.Time) {
+	t.dropUnusedPools(time.Now())
 	pools := *t.pools.Load()
 	for _, p := range pools {
 		for i := range p.idle {
@@ -177,3 +180,30 @@
 	}
 	maps.DeleteFunc(nextDial, func(p *pool, _ time.Time) bool { return pools[p.address] != p })
 }
+
+// dropUnusedPools drops the pools that have been without connections for the idle
+// timeout, unless SetServers listed their servers: servers come and go, and their
+// addresses are not used again.
+func (t *Transport) dropUnusedPools(now time.Time) {
+	var unused []*pool
+	for _, p := range *t.pools.Load() {
+		switch {
+		case p.listed.Load() || p.open.Load() > 0:
+			p.unusedSince = time.Time{}
+		case p.unusedSince.IsZero():
+			p.unusedSince = now
+		case now.Sub(p.unusedSince) >= t.options.IdleTimeout:
+			unused = append(unused, p)
+		}
+	}
+	if len(unused) == 0 {
+		return
+	}
+	t.updatePools(func(pools map[string]*pool) {
+		for _, p := range unused {
+			if pools[p.address] == p {
+				delete(pools, p.address)
+			}
+		}
+	})
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -1,6 +1,9 @@
 package backend
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // idleSlots is the largest number of idle connections kept per backend server.
 const idleSlots = 64
@@ -15,7 +18,10 @@
 	open       atomic.Int64 // connections open or being opened
 	idleCount  atomic.Int64 // idle connections
 	removed    atomic.Bool  // no longer in Transport.pools
+	listed     atomic.Bool  // SetServers listed the server
 	idle       [idleSlots]atomic.Pointer[conn]
+
+	unusedSince time.Time // without connections since then; zero if it has any. Used by Run's goroutine only
 }
 
 // take returns an idle connection or nil. It tries low slots first, so that
