Drop what filters learned of routes that are no longer used

Cause: the filters keep durations, speeds, urgencies and budgets in maps by the name of a route or service. A name was added on first use and never removed, so that each name that a configuration ever had stayed, and each new one copied all of them.

--- a/internal/filters/budget.go
+++ b/internal/filters/budget.go
@@ -1,9 +1,6 @@
 package filters
 
-import (
-	"maps"
-	"sync/atomic"
-)
+import "sync/atomic"
 
 // budgetBurst is the capacity in tokens of a budget that is kept per host. It
 // enables retries on routes with few requests.
@@ -56,24 +53,3 @@
 		}
 	}
 }
-
-// cowMap is a copy-on-write map from names to values that are created on first
-// use. A read takes one atomic load; a new name copies the map.
-type cowMap[T any] struct{ p atomic.Pointer[map[string]*T] }
-
-func (m *cowMap[T]) get(name string) *T {
-	for {
-		old := m.p.Load()
-		if old != nil {
-			if v := (*old)[name]; v != nil {
-				return v
-			}
-		}
-		next := map[string]*T{}
-		if old != nil {
-			next = maps.Clone(*old)
-		}
-		next[name] = new(T)
-		m.p.CompareAndSwap(old, &next)
-	}
-}
