Release the configuration while a request runs

An order at a silent backend server runs for up to ten minutes. Orders that begin under different versions each kept one: 1.34 MB for a configuration of 996 kB.

The header of messages between hosts reads the current revision from the store.

--- a/internal/controller/orders/copies.go
+++ b/internal/controller/orders/copies.go
@@ -123,7 +123,7 @@
 	for i := range batch {
 		copies[i] = batch[i].copy
 	}
-	args := &wire.CopyRequest{Header: c.Header(s), Copies: copies}
+	args := &wire.CopyRequest{Header: c.Header(), Copies: copies}
 	for _, to := range copyHolders(s.Members, &batch[0].key) {
 		if !to.Alive || to.Name == s.Members.Self.Name {
 			continue
@@ -193,7 +193,7 @@
 		pending++
 		wg.Go(func() {
 			reply := &wire.LookupReply{}
-			args := &wire.LookupRequest{Header: c.Header(s), Key: key, Fingerprint: fingerprint}
+			args := &wire.LookupRequest{Header: c.Header(), Key: key, Fingerprint: fingerprint}
 			if err := c.cfg.Peers.Call(ctx, peer.Data, to.Address, "Order.Lookup", args, reply); err != nil {
 				// A late response may still be written to the reply of a call that timed out.
 				reply = &wire.LookupReply{}
--- a/internal/controller/orders/handover.go
+++ b/internal/controller/orders/handover.go
@@ -107,7 +107,7 @@
 	parts := slices.Collect(slices.Chunk(payload, c.cfg.PartBytes))
 	for i, part := range parts {
 		reply := &wire.HandOverReply{}
-		args := &wire.HandOverRequest{Header: c.Header(s), Owner: incarnation, Payload: part, Part: i, Parts: len(parts)}
+		args := &wire.HandOverRequest{Header: c.Header(), Owner: incarnation, Payload: part, Part: i, Parts: len(parts)}
 		err := c.cfg.Peers.Call(ctx, peer.Data, to.Address, "Order.HandOver", args, reply)
 		if err == nil && reply.Accepted {
 			continue
--- a/internal/controller/orders/orders.go
+++ b/internal/controller/orders/orders.go
@@ -155,7 +155,8 @@
 }
 
 // Header implements filters.Orders.
-func (c *Controller) Header(s *state.Snapshot) wire.Header {
+func (c *Controller) Header() wire.Header {
+	s := c.cfg.Store.Load()
 	h := wire.Header{Version: wire.Version, From: s.Members.Self.Name, Incarnation: c.cfg.Incarnation}
 	if s.Manifest != nil {
 		h.Revision = s.Manifest.File.Revision
--- a/internal/controller/orders/service.go
+++ b/internal/controller/orders/service.go
@@ -25,7 +25,7 @@
 func (s *Service) Submit(req *wire.OrderRequest, reply *wire.OrderReply) error {
 	c := s.c
 	snapshot := c.cfg.Store.Load()
-	reply.Header = c.Header(snapshot)
+	reply.Header = c.Header()
 	chain := c.chain.Load()
 	if chain == nil {
 		reply.ReasonName = verdict.ReasonInternal.String()
@@ -70,20 +70,20 @@
 // Copy stores copies of finished orders.
 func (s *Service) Copy(req *wire.CopyRequest, reply *wire.CopyReply) error {
 	s.c.storeCopies(req.Copies)
-	reply.Header = s.c.Header(s.c.cfg.Store.Load())
+	reply.Header = s.c.Header()
 	return nil
 }
 
 // Lookup returns the copy of an order.
 func (s *Service) Lookup(req *wire.LookupRequest, reply *wire.LookupReply) error {
-	reply.Header = s.c.Header(s.c.cfg.Store.Load())
+	reply.Header = s.c.Header()
 	reply.Copy, reply.Found = s.c.storedCopy(req.Key, req.Fingerprint)
 	return nil
 }
 
 // HandOver takes over the records of a stopping entry host.
 func (s *Service) HandOver(req *wire.HandOverRequest, reply *wire.HandOverReply) error {
-	reply.Header = s.c.Header(s.c.cfg.Store.Load())
+	reply.Header = s.c.Header()
 	reply.Accepted = s.c.receivePart(req)
 	return nil
 }
--- a/internal/feedhost/observe.go
+++ b/internal/feedhost/observe.go
@@ -47,7 +47,9 @@
 		zap.Stringer("reason", out.Reason), zap.Stringer("verdict", out.Verdict), zap.Duration("took", took),
 		zap.Duration("feed_age", h.feeds.Age(now)),
 	}
-	if m := x.Snapshot.Manifest; m != nil {
+	if x.Revision > 0 {
+		f = append(f, zap.Uint64("version", x.Revision))
+	} else if m := x.Snapshot.Manifest; m != nil {
 		f = append(f, zap.Uint64("version", m.File.Revision))
 	}
 	if x.Request != nil {
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -72,7 +72,11 @@
 // Exchange is the state of one request in the chain. Only one goroutine uses it
 // at a time.
 type Exchange struct {
-	Snapshot          *state.Snapshot // loaded once per request
+	// Snapshot is loaded once per request. The route filter replaces it by one without
+	// manifest and backend servers, which a request that runs for long must not keep in
+	// memory after they have changed.
+	Snapshot          *state.Snapshot
+	Revision          uint64 // of the manifest that Route and Service were copied from
 	Request           *Request
 	Arrived           clock.Time // when the front end had the whole request
 	Deadline          clock.Time // set by the deadline filter; never extended
--- a/internal/filters/orderforward.go
+++ b/internal/filters/orderforward.go
@@ -110,7 +110,7 @@
 	defer cancel()
 	r := x.Request
 	args := &wire.OrderRequest{
-		Header: f.Orders.Header(x.Snapshot), Key: x.Key,
+		Header: f.Orders.Header(), Key: x.Key,
 		Method: r.Method, Host: r.Host, Path: r.Path, Query: r.Query, Body: r.Body,
 		RemainingMicros: (remaining - min(maxForwardMargin, remaining/10)).Microseconds(), Nested: x.Nested,
 	}
--- a/internal/filters/orderkey.go
+++ b/internal/filters/orderkey.go
@@ -36,7 +36,7 @@
 	// if there is none.
 	Find(ctx context.Context, s *state.Snapshot, k *orderkey.Key, fingerprint uint64) (c wire.OrderCopy, ok bool)
 	// Header returns the message header of this process.
-	Header(s *state.Snapshot) wire.Header
+	Header() wire.Header
 }
 
 // OrderKey runs a keyed order at its owner, at most once.
--- a/internal/filters/route.go
+++ b/internal/filters/route.go
@@ -7,9 +7,17 @@
 
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
 
+// selection is what a request keeps of the snapshot that it began with.
+type selection struct {
+	snapshot state.Snapshot // without manifest and backend servers
+	route    manifest.Route
+	service  manifest.Service
+}
+
 // Route selects the first route of the manifest that matches, and the service.
 type Route struct{}
 
@@ -29,14 +37,19 @@
 		out.RetryAfter = withJitter(noConfigurationRetryAfter)
 		return out
 	}
-	x.Route = m.Match(x.Request.Method, x.Request.Host, x.Request.Path)
-	if x.Route == nil {
+	route := m.Match(x.Request.Method, x.Request.Host, x.Request.Path)
+	if route == nil {
 		return filter.Refuse(verdict.ReasonNoRoute, nil)
 	}
-	x.Service = m.Services[selectService(x.Route)]
-	if x.Service == nil {
+	service := m.Services[selectService(route)]
+	if service == nil {
 		return filter.Refuse(verdict.ReasonNoBackend, nil)
 	}
+	s := &selection{
+		snapshot: state.Snapshot{Members: x.Snapshot.Members, PoisonRequests: x.Snapshot.PoisonRequests},
+		route:    *route, service: *service,
+	}
+	x.Snapshot, x.Route, x.Service, x.Revision = &s.snapshot, &s.route, &s.service, m.File.Revision
 	if x.Route.Deadline > 0 {
 		shortenDeadline(x, x.Arrived.Add(time.Duration(x.Route.Deadline)))
 	}
