Publish how much memory the replica takes up

Cause: nothing told an operator what a replica holds, so that a host that was killed for its memory left no trace of the reason.

Change: feeds.replica_bytes counts keys and values of the published items, feeds.removal_bytes the removals that are kept for other hosts.

Result: TestReplicasAgree checks the count against a replica that was filled at once, over random changes.

--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -130,6 +130,7 @@
 	stopped chan struct{} // closed when Run has ended
 
 	platformCalls, platformCallsFailed, pulls, pullsBusy, dropped, panics *expvar.Int
+	replicaBytes, removalBytes                                            *expvar.Int // memory of the replica
 }
 
 // New returns a controller with an empty replica.
@@ -139,6 +140,7 @@
 	c.platformCalls, c.platformCallsFailed = cfg.Counters.Int("feeds.platform_calls"), cfg.Counters.Int("feeds.platform_calls_failed")
 	c.pulls, c.pullsBusy, c.dropped = cfg.Counters.Int("feeds.pulls"), cfg.Counters.Int("feeds.pulls_busy"), cfg.Counters.Int("feeds.dropped")
 	c.panics = cfg.Counters.Int("feeds.panics")
+	c.replicaBytes, c.removalBytes = cfg.Counters.Int("feeds.replica_bytes"), cfg.Counters.Int("feeds.removal_bytes")
 	return c
 }
 
--- a/internal/controller/feeds/servers.go
+++ b/internal/controller/feeds/servers.go
@@ -28,6 +28,9 @@
 func (c *Controller) publish() {
 	c.changedRevision.Store(c.replica.Changed())
 	c.revision.Store(c.replica.Revision())
+	items, removals := c.replica.Bytes()
+	c.replicaBytes.Set(int64(items))
+	c.removalBytes.Set(int64(removals))
 	if c.replica.Changed() == 0 {
 		return
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,11 +18,14 @@
 	Gone     bool   // the item was removed at Revision
 }
 
+func (i *Item) bytes() int { return len(i.Key) + len(i.Value) }
+
 // Replica is a host's copy of the published items. It contains every change up to
 // Revision. Of each item it keeps the newest change only, since values may be large and
 // change often.
 type Replica struct {
 	items        map[string]Item
+	bytes        int      // of the keys and values of items
 	removals     removals // older changes must not undo them, and other hosts may lack them
 	revision     uint64   // the replica contains every change up to it
 	newestChange uint64   // revision of the newest change in the replica
@@ -59,6 +62,10 @@
 // Changed returns the revision of the newest change in the replica.
 func (r *Replica) Changed() uint64 { return r.newestChange }
 
+// Bytes returns the bytes of the keys and values of the items, and of the removals that
+// are kept for other hosts.
+func (r *Replica) Bytes() (items, removals int) { return r.bytes, r.removals.bytes }
+
 // Complete reports whether the replica was filled at least once.
 func (r *Replica) Complete() bool { return r.revision > 0 }
 
@@ -129,12 +136,16 @@
 	if old, ok := r.items[i.Key]; ok && old.Revision >= i.Revision || r.removals.revisions[i.Key] >= i.Revision {
 		return
 	}
+	if old, ok := r.items[i.Key]; ok {
+		r.bytes -= old.bytes()
+	}
 	if i.Gone {
 		// Also if the item is unknown: a replica that is told of this change may hold it.
 		delete(r.items, i.Key)
 		r.removals.add(i.Key, i.Revision)
 	} else {
 		r.items[i.Key] = i
+		r.bytes += i.bytes()
 		r.removals.delete(i.Key)
 	}
 	r.newestChange = max(r.newestChange, i.Revision)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -103,6 +103,10 @@
 		if fmt.Sprint(content(a)) != fmt.Sprint(content(want)) {
 			rt.Fatalf("got %v, want %v", content(a), content(want))
 		}
+		got, _ := a.Bytes()
+		if total, _ := want.Bytes(); got != total {
+			rt.Fatalf("%d bytes are counted, want %d", got, total)
+		}
 	})
 }
 
