Bound the log queue in bytes

Cause: the queue for a reader of the log that stalls was bounded by 1,024 lines of any length. A line contains the id of a request, which may be as long as the header of a caller.

Change: the queue holds at most 1 MiB of lines; others are dropped and counted.

--- a/internal/settings/logsink.go
+++ b/internal/settings/logsink.go
@@ -8,14 +8,16 @@
 	"github.com/go-faster/errors"
 )
 
-// sinkQueueLines is the maximum number of log lines queued for a slow reader.
-const sinkQueueLines = 1024
+// sinkQueueLines and sinkQueueBytes bound the log lines queued for a slow reader. Lines
+// contain what callers send, such as request ids.
+const sinkQueueLines, sinkQueueBytes = 1024, 1 << 20
 
 // sink writes log lines in the background, so that no request waits for the
 // reader of the log. When the queue is full, lines are dropped and counted.
 type sink struct {
 	lines   chan []byte
 	flush   chan chan struct{}
+	queued  atomic.Int64 // bytes of lines
 	dropped atomic.Int64
 }
 
@@ -29,21 +31,32 @@
 	for {
 		select {
 		case line := <-s.lines:
-			_, _ = w.Write(line) // a failed log write cannot be reported anywhere
+			s.write(w, line)
 		case done := <-s.flush:
 			for len(s.lines) > 0 {
-				_, _ = w.Write(<-s.lines)
+				s.write(w, <-s.lines)
 			}
 			close(done)
 		}
 	}
 }
 
+func (s *sink) write(w io.Writer, line []byte) {
+	_, _ = w.Write(line) // a failed log write cannot be reported anywhere
+	s.queued.Add(-int64(len(line)))
+}
+
 // Write implements zapcore.WriteSyncer. It never blocks.
 func (s *sink) Write(line []byte) (int, error) {
+	if s.queued.Add(int64(len(line))) > sinkQueueBytes {
+		s.queued.Add(-int64(len(line)))
+		s.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
+		s.queued.Add(-int64(len(line)))
 		s.dropped.Add(1)
 	}
 	return len(line), nil
