Bound the body of an answer to a probe by 64 KiB

What callers saw: beside a few servers whose answers to probes never end, a response of a sound server failed as too large if its caller takes no chunks, and could not be retried after a break otherwise.

Cause: answers to probes were held like those to requests, up to 8 MiB, in the memory that all responses share. Only the head of such an answer is used.

Change: a longer body than 64 KiB fails the probe. An endless one failed before as well, by its timeout or at 8 MiB.

Result: TestEndlessProbes failed before (the sound response is too large) and passes.

--- a/internal/backend/body.go
+++ b/internal/backend/body.go
@@ -20,6 +20,8 @@
 	// one that breaks off can be replaced by a retry. Larger ones are forwarded while they
 	// arrive.
 	holdBytes = 1 << 20
+	// probeBytes bounds the body of a response to a probe, of which only the head is used.
+	probeBytes = 64 << 10
 )
 
 // newBodyReader returns a reader of the body after a response head. It returns io.EOF
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -124,3 +124,40 @@
 	}
 	is.Equal(tr.largeBytes.Load(), int64(0)) // all memory is given back
 }
+
+// TestEndlessProbes guards against servers whose answers to probes never end and take up
+// the memory that the responses of other servers need.
+func TestEndlessProbes(t *testing.T) {
+	is := is.New(t)
+	const probes, size = 8, 1 << 20
+	sent := make(chan struct{}, probes)
+	faulty := listen(t, func(s *rawServer, conn net.Conn, r *bufio.Reader) {
+		s.readRequest(r)
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", size)))
+		sent <- struct{}{}
+		_, _ = r.ReadByte() // keeps the connection open until the client closes it
+	})
+	large := listen(t, respondWith("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("y", 1_000_000), false))
+	tr := New(Options{MaxBody: 8 << 20, MaxBufferedBytes: 4 << 20, Lenient: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan filter.Result, probes)
+	for range probes {
+		go func() {
+			a := attempt(faulty.Addr().String(), "GET")
+			a.Probe, a.Timeout = true, time.Minute
+			ended <- tr.Do(ctx, a)
+		}()
+	}
+	for range probes {
+		<-sent // the probes have received what they hold
+	}
+	res := tr.Do(context.Background(), attempt(large.Addr().String(), "GET"))
+	is.Equal(res.Facts.ResponseState, verdict.ResponseComplete)
+	is.Equal(len(res.Response.Body), 1_000_000)
+	cancel()
+	for range probes {
+		res := <-ended
+		is.Equal(res.Facts.ResponseState, verdict.ResponseTooLarge)
+	}
+	is.Equal(tr.largeBytes.Load(), int64(0))
+}
--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -111,7 +111,7 @@
 // to other requests that arrive before it; the connection is not reused then.
 func (t *Transport) readMatchingResponse(resp *fasthttp.Response, r *bufio.Reader, a *filter.Attempt, res *filter.Result) (responseBody, error) {
 	for n := 0; ; n++ {
-		body, trailing, err := t.readFinalResponse(resp, r, a.Cleanup != nil)
+		body, trailing, err := t.readFinalResponse(resp, r, a)
 		if err != nil {
 			body.memory.release()
 			return body, err
@@ -174,18 +174,18 @@
 // readFinalResponse reads the final response. A response is complete only if its end is
 // marked by a length, by the last chunk, or by a status or method without a body. A
 // close-delimited response looks the same when the server crashes, and is accepted only
-// with Options.Lenient. With forward, the rest of a body that is too large to be held is
-// left unread; otherwise such a body is an error.
+// with Options.Lenient. If the attempt has a Cleanup, the rest of a body that is too large
+// to be held is left unread; otherwise such a body is an error.
 //
 // trailing is true when the connection cannot be reused for another response. With
 // Options.Lenient, a server may mark the end of a response by closing the connection,
 // and may send bytes after a response that belong to no request.
-func (t *Transport) readFinalResponse(resp *fasthttp.Response, r *bufio.Reader, forward bool) (body responseBody, trailing bool, err error) {
+func (t *Transport) readFinalResponse(resp *fasthttp.Response, r *bufio.Reader, a *filter.Attempt) (body responseBody, trailing bool, err error) {
 	body.memory.transport = t
 	if err := readFinalHead(resp, r); err != nil {
 		return body, true, err
 	}
-	if err := t.readBody(resp, r, forward, &body); err != nil {
+	if err := t.readBody(resp, r, a, &body); err != nil {
 		return body, true, err
 	}
 	switch {
@@ -224,7 +224,7 @@
 }
 
 // readBody reads the body of a response, or as much of it as is held in memory.
-func (t *Transport) readBody(resp *fasthttp.Response, r *bufio.Reader, forward bool, body *responseBody) error {
+func (t *Transport) readBody(resp *fasthttp.Response, r *bufio.Reader, a *filter.Attempt, body *responseBody) error {
 	if !hasBody(resp) {
 		return nil
 	}
@@ -232,10 +232,14 @@
 	if length < -1 && !t.options.Lenient {
 		return errNoLength
 	}
-	limit := t.options.MaxBody
-	if forward {
+	limit, forward := t.options.MaxBody, a.Cleanup != nil
+	switch {
+	case a.Probe:
+		limit = min(limit, probeBytes)
+	case forward:
 		limit = min(limit, holdBytes)
-	} else if length > limit {
+	}
+	if !forward && length > limit {
 		return fasthttp.ErrBodyTooLarge
 	}
 	reader := newBodyReader(resp, r)
