Stop reading content of the store that does not end

Cause: Read kept the pages of the store for as long as it said that more follow, bounded by the 3 s of a read only.

Change: a read fails at 16 MiB, counted page by page.

--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -11,6 +11,25 @@
 // whole content has to be read again.
 var ErrCompacted = errors.New("feed: requested changes are no longer in the platform's history")
 
+// MaxContentBytes bounds the memory of all published items that a host reads at once, from
+// the platform or from another host. A configuration has at most 1 MiB, a registration
+// some hundred bytes.
+const MaxContentBytes = 16 << 20
+
+// itemMemoryBytes is the memory that an item takes up besides its key and value.
+const itemMemoryBytes = 128
+
+// ContentBytes returns the memory of items.
+func ContentBytes(items []Item) (size int) {
+	for i := range items {
+		size += items[i].bytes() + itemMemoryBytes
+	}
+	return size
+}
+
+// ErrContentTooLarge means that the published items exceed MaxContentBytes.
+var ErrContentTooLarge = errors.New("feed: the published items take up too much memory")
+
 // Source is the service of the platform that publishes the items. Every call has a
 // cost and can fail, hang, or be refused. Errors other than ErrCompacted carry no
 // information about the content.
