Stop a transfer from another host that does not end

Cause: a transfer kept the pages and parts of another host for as long as it said that more follow, without a bound in bytes or time.

Change: a transfer fails at 16 MiB.

Result: TestTransferWithoutEnd failed before (64 MiB accepted) and passes.

--- a/internal/feed/transfer.go
+++ b/internal/feed/transfer.go
@@ -118,6 +118,7 @@
 type Transfer struct {
 	request  Request
 	items    []Item
+	bytes    int    // memory of items
 	revision uint64 // lowest revision of the replies; 0: none
 	data     []byte // of request.Part
 }
@@ -152,7 +153,9 @@
 		if i.Key <= t.request.Key {
 			return false, t.fail(errTransfer)
 		}
-		t.add(i)
+		if err := t.add(i); err != nil {
+			return false, t.fail(err)
+		}
 	}
 	if reply.Part.Size > 0 {
 		if err := t.acceptPart(reply.Part, unpack); err != nil {
@@ -162,12 +165,16 @@
 	return !reply.More, nil
 }
 
-func (t *Transfer) add(i Item) {
+func (t *Transfer) add(i Item) error {
+	if t.bytes += i.bytes() + itemMemoryBytes; t.bytes > MaxContentBytes {
+		return ErrContentTooLarge
+	}
 	t.items = append(t.items, i)
 	t.request.Key = i.Key
 	if i.Key >= t.request.Part.Key {
 		t.request.Part, t.data = Part{}, nil
 	}
+	return nil
 }
 
 func (t *Transfer) acceptPart(p Part, unpack func([]byte) ([]byte, error)) error {
@@ -186,8 +193,7 @@
 	if err != nil {
 		return err
 	}
-	t.add(Item{Key: p.Key, Value: value, Revision: p.Revision})
-	return nil
+	return t.add(Item{Key: p.Key, Value: value, Revision: p.Revision})
 }
 
 func (t *Transfer) fail(err error) error {
--- a/internal/feed/transfer_test.go
+++ b/internal/feed/transfer_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -132,6 +133,36 @@
 	}
 }
 
+// TestTransferWithoutEnd guards against a host whose pages never end: the host that asked
+// for them kept them all and ran out of memory.
+func TestTransferWithoutEnd(t *testing.T) {
+	large := make([]byte, 1<<20)
+	for name, page := range map[string]func(q Request, key string) Reply{
+		"items": func(q Request, key string) Reply {
+			return Reply{Revision: 9, Full: true, Key: q.Key, Items: []Item{{Key: key, Value: large, Revision: 3}}, More: true}
+		},
+		"parts": func(q Request, key string) Reply {
+			p := Part{Key: key, Revision: 3, Digest: 1, Size: 16, Data: make([]byte, 16)}
+			return Reply{Revision: 9, Full: true, Key: q.Key, Part: p, More: true}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var transfer Transfer
+			var err error
+			received := 0
+			for n := 0; err == nil && received < 4*MaxContentBytes; n++ {
+				reply := page(transfer.Request(1), fmt.Sprintf("k%09d", n))
+				_, err = transfer.Accept(reply, func([]byte) ([]byte, error) { return large, nil })
+				received += len(large)
+			}
+			is.True(errors.Is(err, ErrContentTooLarge))
+			is.True(received <= MaxContentBytes+len(large))
+			is.Equal(transfer.Request(1), Request{After: 1}) // it begins again
+		})
+	}
+}
+
 // TestPeers guards against a host that is asked again at once although it is busy or
 // does not reply, and against a list of hosts that grows with their number.
 func TestPeers(t *testing.T) {
