Move the bounded reading of bodies to a package of its own

Cause: the transport counts the memory of responses while they are read. The front end for callers needs the same for requests.

Change: package bodies has the account, the reader of fixed and chunked bodies and the function that holds a body in memory. No behaviour changes.

Result: the tests of the transport pass unchanged but for the name of the counter that they read.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/anvilfront/anvilfront/internal/bodies"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
@@ -76,7 +77,7 @@
 	wake    chan struct{}                    // wakes Run after a call of Warm or SetServers
 	dialer  net.Dialer
 
-	largeBytes               atomic.Int64 // memory of responses; see Options.MaxBufferedBytes
+	memory                   *bodies.Account // of responses; see Options.MaxBufferedBytes
 	dials, staleIdle, pruned atomic.Int64
 }
 
@@ -84,7 +85,7 @@
 // that expired.
 func New(o Options) *Transport {
 	o.setDefaults()
-	t := &Transport{options: o, wake: make(chan struct{}, 1)}
+	t := &Transport{options: o, wake: make(chan struct{}, 1), memory: bodies.NewAccount(o.MaxBufferedBytes)}
 	t.pools.Store(&map[string]*pool{})
 	return t
 }
--- a/internal/backend/body_test.go
+++ b/internal/backend/body_test.go
@@ -74,7 +74,7 @@
 					}
 					is.True(res.Response.Rest != nil)
 					is.True(len(res.Response.Body) <= holdBytes)
-					is.True(tr.largeBytes.Load() <= holdBytes)
+					is.True(tr.memory.Used() <= holdBytes)
 					rest, err := io.ReadAll(res.Response.Rest)
 					is.Equal(err == nil, sent == size)
 					is.Equal(res.Response.Rest.Err() == nil, sent == size)
@@ -85,7 +85,7 @@
 					a.Cleanup.Run()
 				}
 				is.Equal(s.accepted.Load() == 1, sent == size && !f.close) // the connection is reused only after a whole body
-				is.Equal(tr.largeBytes.Load(), int64(0))
+				is.Equal(tr.memory.Used(), int64(0))
 				open := tr.pool(s.Addr().String()).open.Load()
 				is.Equal(open, int64(2)-s.accepted.Load()) // none is left open but the reused one
 			})
@@ -107,7 +107,7 @@
 		a.Cleanup = cleanup
 		res := tr.Do(context.Background(), a)
 		is.Equal(res.Facts.ResponseState, verdict.ResponseComplete)
-		is.True(tr.largeBytes.Load() <= bound)
+		is.True(tr.memory.Used() <= bound)
 		if res.Response.Rest == nil {
 			held++
 			continue
@@ -121,7 +121,7 @@
 	is.True(held > 0)
 	is.True(forwarded > 0)
 	cleanup.Run()
-	is.Equal(tr.largeBytes.Load(), int64(0))
+	is.Equal(tr.memory.Used(), int64(0))
 	is.Equal(s.accepted.Load(), int64(1))
 }
 
@@ -144,7 +144,7 @@
 		tr.Do(ctx, attempt(s.Addr().String(), "GET"))
 	}()
 	<-answered
-	is.Equal(tr.largeBytes.Load(), int64(0))
+	is.Equal(tr.memory.Used(), int64(0))
 	cancel()
 	<-done
 }
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -122,7 +122,7 @@
 	for ; refused < requests; refused++ {
 		<-results
 	}
-	is.Equal(tr.largeBytes.Load(), int64(0)) // all memory is given back
+	is.Equal(tr.memory.Used(), int64(0)) // all memory is given back
 }
 
 // TestEndlessProbes guards against servers whose answers to probes never end and take up
@@ -159,5 +159,5 @@
 		res := <-ended
 		is.Equal(res.Facts.ResponseState, verdict.ResponseTooLarge)
 	}
-	is.Equal(tr.largeBytes.Load(), int64(0))
+	is.Equal(tr.memory.Used(), int64(0))
 }
--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/anvilfront/anvilfront/internal/bodies"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
@@ -75,9 +76,9 @@
 		return res, false
 	}
 	if a.Cleanup != nil {
-		a.Cleanup.Add(body.memory.release)
+		a.Cleanup.Add(body.memory.Release)
 	} else {
-		body.memory.release()
+		body.memory.Release()
 	}
 	res.Response = copyResponse(resp, body.held)
 	reuse := res.Facts.ResponseState != verdict.ResponseForeign && !resp.ConnectionClose() && !res.TrailingBytes
@@ -104,7 +105,7 @@
 	held   []byte
 	rest   io.Reader // follows held; nil if held is complete
 	length int       // stated length of the whole body, or -1; valid with rest
-	memory heldMemory
+	memory bodies.Reservation
 }
 
 // readMatchingResponse reads the response to this request. It skips complete responses
@@ -113,20 +114,20 @@
 	for n := 0; ; n++ {
 		body, trailing, err := t.readFinalResponse(resp, r, a)
 		if err != nil {
-			body.memory.release()
+			body.memory.Release()
 			return body, err
 		}
 		res.TrailingBytes = res.TrailingBytes || trailing
 		state, matches := t.options.Dialect.Inspect(resp, a, res)
 		if body.rest != nil && (!matches || state != verdict.ResponseComplete) {
-			body.memory.release()
+			body.memory.Release()
 			return body, errResponsesTooLarge // only the response of the request itself is forwarded in parts
 		}
 		res.Facts.ResponseState = state
 		if matches || n == maxForeignResponses {
 			return body, nil
 		}
-		body.memory.release()
+		body.memory.Release()
 		res.TrailingBytes = true
 		resp.Reset()
 		resp.Header.SetNoDefaultContentType(true)
@@ -181,7 +182,7 @@
 // Options.Lenient, a server may mark the end of a response by closing the connection,
 // and may send bytes after a response that belong to no request.
 func (t *Transport) readFinalResponse(resp *fasthttp.Response, r *bufio.Reader, a *filter.Attempt) (body responseBody, trailing bool, err error) {
-	body.memory.transport = t
+	body.memory = bodies.Reservation{Account: t.memory, Free: freeResponseBytes}
 	if err := readFinalHead(resp, r); err != nil {
 		return body, true, err
 	}
@@ -242,8 +243,8 @@
 	if !forward && length > limit {
 		return fasthttp.ErrBodyTooLarge
 	}
-	reader := newBodyReader(resp, r)
-	held, complete, err := hold(reader, length, limit, &body.memory)
+	reader := bodies.NewReader(r, length, &resp.Header)
+	held, complete, err := bodies.Hold(reader, length, limit, &body.memory)
 	body.held = held
 	switch {
 	case err != nil || complete:
@@ -253,8 +254,8 @@
 	case !forward:
 		return errResponsesTooLarge
 	}
-	if chunked, ok := reader.(*chunkedBody); ok {
-		chunked.trailer = &fasthttp.ResponseHeader{} // resp is reused before the trailer arrives
+	if chunked, ok := reader.(*bodies.Chunked); ok {
+		chunked.Trailer = &fasthttp.ResponseHeader{} // resp is reused before the trailer arrives
 	}
 	body.rest, body.length = reader, max(length, -1)
 	return nil
