Count bodies of requests from their first byte

Cause: a body was added to the sum of bodies only after it had arrived whole, so that bodies being read, and all bodies in chunks, counted for nothing. Each was copied once more when decoded.

Change: the memory of a body of stated length is reserved before it is read, and one in chunks is counted as it grows, by the type that counts responses. A request that does not fit is refused at once with 503, "not run" and Retry-After; the rest of its body is discarded so that the caller receives the answer. Bodies are not copied any more. The bound is 0.35 of the memory that the settings name, in place of 32 MiB.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/anvilfront/anvilfront/internal/bodies"
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/manifest"
@@ -42,8 +43,8 @@
 // methods are called concurrently and must copy the parts of a message that they
 // retain.
 type Codec interface {
-	// Decode returns the request, never nil, and an outcome if the request is
-	// refused, else nil.
+	// Decode returns the request without its body, never nil, and an outcome if the
+	// request is refused, else nil.
 	Decode(req *fasthttp.Request) (*filter.Request, *filter.Outcome)
 	// Encode fills in the response. r is nil when the request could not be read.
 	Encode(resp *fasthttp.Response, r *filter.Request, out *filter.Outcome)
@@ -59,7 +60,7 @@
 	Counters         *metrics.Counters
 	Log              *zap.Logger
 	MaxConnections   int   // further connections are closed unread
-	MaxBufferedBytes int64 // total size of the bodies in memory; a request beyond it is refused before its body is read
+	MaxBufferedBytes int64 // memory of all bodies, counted from their first byte; a request beyond it is refused
 	MaxBodyBytes     int   // upper bound of the configured body limit, since bodies are held in memory
 	// Observe is called for each finished request. It must not block.
 	Observe func(x *filter.Exchange, out *filter.Outcome)
@@ -72,12 +73,13 @@
 	Config
 	openConnections   atomic.Int64
 	inFlight          atomic.Int64
-	bufferedBytes     atomic.Int64 // bytes of bodies in memory
-	keepAliveDisabled atomic.Bool  // each response closes its connection
-	draining          atomic.Bool  // idle connections are closed as well
+	memory            *bodies.Account // of the bodies of requests
+	keepAliveDisabled atomic.Bool     // each response closes its connection
+	draining          atomic.Bool     // idle connections are closed as well
 	idleOnce          sync.Once
 	idle              chan struct{} // closed when no request is in flight after Drain
 	panics            *expvar.Int   // requests whose handling, reading or writing panicked
+	refusedBodies     *expvar.Int   // requests refused because the bodies in memory leave no room
 	brokenOff         *expvar.Int   // responses that broke off after their first part was forwarded
 
 	mu    sync.Mutex // guards conns; taken once per connection, not per request
@@ -88,11 +90,15 @@
 // New returns a server. Serve accepts its connections.
 func New(c Config) *Server {
 	return &Server{
-		Config: c, conns: map[*conn]struct{}{}, idle: make(chan struct{}),
+		Config: c, memory: bodies.NewAccount(c.MaxBufferedBytes), conns: map[*conn]struct{}{}, idle: make(chan struct{}),
 		panics: c.Counters.Int("callers.panics"), brokenOff: c.Counters.Int("callers.responses_broken_off"),
+		refusedBodies: c.Counters.Int("callers.bodies_refused"),
 	}
 }
 
+// BodyBytes returns the memory of the bodies of requests.
+func (s *Server) BodyBytes() int64 { return s.memory.Used() }
+
 // InFlight returns the number of requests that were read and whose response is
 // not yet written.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/anvilfront/anvilfront/internal/bodies"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/verdict"
@@ -35,6 +37,8 @@
 	newestRequest atomic.Int64
 	lastDone      chan struct{} // closed when the newest request is done; nil before the first request
 	pipelineSlots chan struct{} // one element for each concurrent request
+
+	unread int // bytes of a refused body that the caller may still send; used by run's goroutine
 }
 
 func newConn(s *Server, netConn net.Conn) *conn {
@@ -91,7 +95,8 @@
 const (
 	// lingerTimeout and lingerBytes bound the data that is read and discarded after
 	// the last response. Closing a connection with unread data would reset it and
-	// lose the response.
+	// lose the response. The rest of a refused body is discarded for as long as reading
+	// it may take.
 	lingerTimeout = 200 * time.Millisecond
 	lingerBytes   = 256 << 10
 )
@@ -100,8 +105,12 @@
 	if t.CloseWrite() != nil {
 		return
 	}
-	_ = t.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c.r, lingerBytes)
+	timeout := lingerTimeout
+	if c.unread > 0 {
+		timeout = max(timeout, time.Duration(c.server.limits().HeaderTime))
+	}
+	_ = t.SetReadDeadline(time.Now().Add(timeout))
+	_, _ = io.CopyN(io.Discard, c.r, int64(lingerBytes+c.unread))
 }
 
 // read reads requests and starts them. It returns false when the caller
@@ -114,17 +123,19 @@
 		}
 		req := fasthttp.AcquireRequest()
 		_ = c.netConn.SetReadDeadline(time.Now().Add(time.Duration(limits.HeaderTime)))
-		if out := c.readRequest(req, limits); out != nil {
+		body := requestBody{memory: bodies.Reservation{Account: c.server.memory}}
+		if out := c.readRequest(req, limits, &body); out != nil {
+			body.memory.Release()
 			fasthttp.ReleaseRequest(req)
 			if out.Reason == verdict.ReasonCallerGone {
 				return false
 			}
-			c.start(nil, out, true, false)
+			c.start(nil, body, out, true, false)
 			return true
 		}
 		_ = c.netConn.SetReadDeadline(time.Time{})
 		r, refusal := c.server.Codec.Decode(req)
-		r.Caller = c.caller
+		r.Caller, r.Body = c.caller, body.data
 		closeConn := req.ConnectionClose() || c.server.keepAliveDisabled.Load()
 		chunks := req.Header.IsHTTP11()
 		sequential := !req.Header.IsGet() && !req.Header.IsHead()
@@ -133,10 +144,11 @@
 			<-c.lastDone // only idempotent requests run concurrently
 		}
 		if !c.acceptRequest() {
+			body.memory.Release()
 			return true // sent before the caller received the last response; not run
 		}
 		c.pipelineSlots <- struct{}{}
-		c.start(r, refusal, closeConn, chunks)
+		c.start(r, body, refusal, closeConn, chunks)
 		if closeConn {
 			return true
 		}
@@ -183,20 +195,12 @@
 
 func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-// readRequest reads one request. It returns nil, or the outcome that refuses the
-// request.
-func (c *conn) readRequest(req *fasthttp.Request, limits manifest.Limits) *filter.Outcome {
+// readRequest reads the header of a request into req, and its body. It returns nil, or the
+// outcome that refuses the request.
+func (c *conn) readRequest(req *fasthttp.Request, limits manifest.Limits, body *requestBody) *filter.Outcome {
 	err := req.Header.Read(c.r)
 	if err == nil {
-		if req.MayContinue() {
-			if _, werr := c.netConn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); werr != nil {
-				return refusal(verdict.ReasonCallerGone, werr)
-			}
-		}
-		if c.server.bufferedBytes.Load()+int64(req.Header.ContentLength()) > c.server.MaxBufferedBytes {
-			return refusal(verdict.ReasonOverload, nil)
-		}
-		err = req.ContinueReadBody(c.r, limits.BodyBytes, false)
+		err = c.readBody(req, limits.BodyBytes, body)
 	}
 	if err == nil {
 		return nil
@@ -207,6 +211,11 @@
 		return refusal(verdict.ReasonHeaderTooLarge, err)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return refusal(verdict.ReasonTooLarge, err)
+	case errors.Is(err, errMemory):
+		c.server.refusedBodies.Add(1)
+		out := refusal(verdict.ReasonOverload, err)
+		out.RetryAfter = memoryRetryAfter/2 + rand.N(memoryRetryAfter)
+		return out
 	case timedOut(err):
 		return refusal(verdict.ReasonRequestTimeout, err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetworkError(err):
@@ -229,18 +238,13 @@
 // request, which then does not enter the chain. closeConn is set when the connection
 // closes after the response. chunks is set when the caller accepts a response in chunks,
 // which one of unknown length needs.
-func (c *conn) start(r *filter.Request, refusal *filter.Outcome, closeConn, chunks bool) {
+func (c *conn) start(r *filter.Request, body requestBody, refusal *filter.Outcome, closeConn, chunks bool) {
 	previousDone, done, number := c.lastDone, make(chan struct{}), c.newestRequest.Load()
-	bodyBytes := int64(0)
-	if r != nil {
-		bodyBytes = int64(len(r.Body))
-	}
-	c.server.bufferedBytes.Add(bodyBytes)
 	c.lastDone = done
 	c.server.inFlight.Add(1)
 	go func() {
 		defer c.server.requestDone()
-		defer c.server.bufferedBytes.Add(-bodyBytes)
+		defer body.memory.Release()
 		defer func() {
 			if p := recover(); p != nil {
 				recovered := panics.NewRecovered(1, p)
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -44,10 +44,10 @@
 	// maxBodyBytes bounds each body, since bodies are held in memory until they are
 	// sent.
 	maxBodyBytes = 8 << 20
-	// maxBufferedBytes bounds the bodies of all requests in memory. Each body is
-	// copied once on its way, and with the copies the bodies take a third of the
-	// memory of the smallest hosts (184 MB).
-	maxBufferedBytes = 32 << 20
+	// requestBodyShare is the share of the host's memory that the bodies of all requests
+	// may take up, and defaultRequestBodyBytes the same for a host without a memory limit.
+	requestBodyShare        = 0.35
+	defaultRequestBodyBytes = 32 << 20
 	// maxBufferedResponseBytes bounds the large responses that are being read. Their
 	// buffers grow by doubling, and with a copy they take a third of the memory of the
 	// smallest hosts.
@@ -212,7 +212,7 @@
 	}
 	h.callers = callers.New(callers.Config{
 		Listener: callerListener, Codec: h.adapter.Codec, Chain: h.chain(), Store: h.store, Clock: h.clock, Counters: h.counters,
-		Log: h.log.Named("callers"), MaxConnections: maxCallerConnections, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: maxBufferedBytes, Observe: h.observe,
+		Log: h.log.Named("callers"), MaxConnections: maxCallerConnections, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: requestBodyBytes(s), Observe: h.observe,
 	})
 	if h.listeners.ready, err = net.Listen("tcp", s.Ready); err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
@@ -222,6 +222,7 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	h.publishGauges()
+	h.counters.Set("callers.body_bytes", expvar.Func(func() any { return h.callers.BodyBytes() }))
 	h.counters.Set("callers.active", expvar.Func(func() any { return h.callers.InFlight() }))
 	h.counters.Set("backend.connections", expvar.Func(func() any { return h.transport.Stats() }))
 	h.operator = operator.New(operator.Config{
@@ -232,6 +233,13 @@
 	return nil
 }
 
+func requestBodyBytes(s *settings.Settings) int64 {
+	if s.MemoryMegabytes == 0 {
+		return defaultRequestBodyBytes
+	}
+	return int64(requestBodyShare * float64(s.MemoryMegabytes<<20))
+}
+
 // Ready reports whether the balancer in front should send callers to this host.
 func (h *Host) Ready() bool { return !h.leaving.Load() && h.feeds.Ready() }
 
