Read the content when the response to a watch cannot be used

Cause: a response over 4 MiB was cut silently and could not be decoded. The call counted as failed, and the next one asked for the changes after the same revision: the same response and more. A response cut by its timeout, or one that cannot be decoded for another reason, was repeated in the same way.

Change: the client tells a response that arrived but cannot be used from a call that failed. After such a watch the host reads the content in pages at once and watches from there; while watches keep failing, again after 200 to 500 ms. A host that resumes after a pause does the same.

Result: TestUnusableWatch failed before (a change not applied after 2.3 s, 2 s allowed; both in a burst and when no watch can be used) and passes, with at most four calls a second.

--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -43,6 +43,9 @@
 	// register in groups, and without it each further change would cost every
 	// watcher a call.
 	changeBatchDelay = 200 * time.Millisecond
+	// maxUnusableDelay bounds the delay between reading the content in place of a watch
+	// and the next watch. A change must be applied within 2 s all the while.
+	maxUnusableDelay = 500 * time.Millisecond
 	// initialPeerWait is how long a new process waits for the replica of another
 	// host before it reads from the platform. The owner of the feed task does not
 	// wait.
@@ -117,6 +120,7 @@
 	servers      serverTable
 	nextCallAt   clock.Time
 	backoff      time.Duration
+	unusable     int  // watches in a row whose responses could not be used
 	gotChanges   bool // the last watch returned changes
 
 	// Changes from and to other hosts; used by Run's goroutine only.
@@ -129,8 +133,8 @@
 
 	stopped chan struct{} // closed when Run has ended
 
-	platformCalls, platformCallsFailed, pulls, pullsBusy, dropped, panics *expvar.Int
-	replicaBytes, removalBytes                                            *expvar.Int // memory of the replica
+	platformCalls, platformCallsFailed, platformResponsesUnusable, pulls, pullsBusy, dropped, panics *expvar.Int
+	replicaBytes, removalBytes                                                                       *expvar.Int // memory of the replica
 }
 
 // New returns a controller with an empty replica.
@@ -138,6 +142,7 @@
 	c := &Controller{cfg: cfg, log: cfg.Log.Named("feeds"), work: make(chan func(), 256), replica: feed.New(), content: &Content{}, stopped: make(chan struct{})}
 	c.servers = newServerTable()
 	c.platformCalls, c.platformCallsFailed = cfg.Counters.Int("feeds.platform_calls"), cfg.Counters.Int("feeds.platform_calls_failed")
+	c.platformResponsesUnusable = cfg.Counters.Int("feeds.platform_responses_unusable")
 	c.pulls, c.pullsBusy, c.dropped = cfg.Counters.Int("feeds.pulls"), cfg.Counters.Int("feeds.pulls_busy"), cfg.Counters.Int("feeds.dropped")
 	c.panics = cfg.Counters.Int("feeds.panics")
 	c.replicaBytes, c.removalBytes = cfg.Counters.Int("feeds.replica_bytes"), cfg.Counters.Int("feeds.removal_bytes")
@@ -164,6 +169,19 @@
 	}
 }
 
+// enqueueAndWait queues f and waits until it was executed, unless the queue is full or Run
+// has ended.
+func (c *Controller) enqueueAndWait(f func()) {
+	done := make(chan struct{})
+	if !c.enqueue(func() { defer close(done); f() }) {
+		return
+	}
+	select {
+	case <-done:
+	case <-c.stopped:
+	}
+}
+
 // Run keeps the replica up to date until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	defer close(c.stopped)
@@ -240,10 +258,14 @@
 	})
 }
 
+// errWatchUnusable means that the response to a watch cannot be used. A watch for changes
+// after the same revision would get it again, so that the content is read instead.
+var errWatchUnusable = errors.New("feeds: response to a watch")
+
 func (c *Controller) finishCall(ctx context.Context, wg *conc.WaitGroup, err error) {
 	c.callInFlight.Store(false)
 	now := c.cfg.Clock.Now()
-	if err == nil || errors.Is(err, feed.ErrCompacted) {
+	if err == nil || errors.Is(err, feed.ErrCompacted) || errors.Is(err, feed.ErrUnusable) {
 		c.recordResponse(now)
 	}
 	switch {
@@ -252,6 +274,11 @@
 			c.log.Info("Calls to the platform succeed again. The retry backoff is reset.")
 		}
 		c.backoff, c.nextCallAt = 0, 0
+		if c.unusable > 0 {
+			// The whole content was read in place of a watch. The next watch may fail again.
+			c.nextCallAt = now.Add(min(changeBatchDelay<<min(c.unusable-1, 8), maxUnusableDelay))
+			return
+		}
 		if c.gotChanges {
 			c.gotChanges, c.nextCallAt = false, now.Add(changeBatchDelay)
 			c.wokenByChange.Store(true)
@@ -262,6 +289,11 @@
 		c.log.Info("The platform no longer has the changes since the known revision. The whole content is read again.", zap.Uint64("revision", c.replica.Revision()))
 		c.startCall(ctx, wg, c.readAll)
 	case ctx.Err() != nil:
+	case errors.Is(err, errWatchUnusable):
+		c.unusable++
+		c.platformResponsesUnusable.Add(1)
+		c.log.Warn("The response to a watch cannot be used. The whole content is read in pages.", zap.Error(err), zap.Uint64("revision", c.replica.Revision()))
+		c.startCall(ctx, wg, c.readAll)
 	default:
 		c.platformCallsFailed.Add(1)
 		if c.backoff == 0 {
@@ -312,7 +344,10 @@
 	defer cancel()
 	requestedAt := c.cfg.Clock.Now()
 	to, events, err := c.cfg.Source.Watch(ctx, after, wait)
-	if err != nil {
+	switch {
+	case errors.Is(err, feed.ErrUnusable):
+		return errors.Join(errWatchUnusable, err)
+	case err != nil:
 		return err
 	}
 	completeAt := requestedAt
@@ -321,7 +356,7 @@
 	}
 	c.enqueue(func() {
 		c.recordResponse(c.cfg.Clock.Now())
-		c.gotChanges = len(events) > 0
+		c.gotChanges, c.unusable = len(events) > 0, 0
 		if c.replica.Apply(after, to, events) {
 			c.recordConfirmation(completeAt)
 			c.publish()
@@ -355,22 +390,24 @@
 		c.background.Go(func() {
 			defer close(done)
 			to, events, err := c.cfg.Source.Watch(ctx, after, 0)
+			if errors.Is(err, feed.ErrUnusable) || errors.Is(err, feed.ErrCompacted) {
+				if err = c.readAll(ctx); err == nil {
+					c.enqueueAndWait(func() {}) // the content that was read is applied
+					return
+				}
+			}
 			if err != nil {
 				c.log.Info("The platform could not be queried after a pause of the process. Serving continues with the last known content.", zap.Error(err))
 				return
 			}
-			applied := make(chan struct{})
 			requestedAt := c.cfg.Clock.Now()
-			if c.enqueue(func() {
-				defer close(applied)
+			c.enqueueAndWait(func() {
 				c.recordResponse(requestedAt)
 				if c.replica.Apply(after, to, events) {
 					c.recordConfirmation(requestedAt)
 					c.publish()
 				}
-			}) {
-				<-applied
-			}
+			})
 		})
 	}) {
 		return
--- a/internal/controller/feeds/watch_test.go
+++ b/internal/controller/feeds/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,3 +97,86 @@
 		<-done
 	})
 }
+
+// burstSource is a platform whose watches cannot be used when they cover more than maxEvents
+// changes. Its revision grows by one with each change.
+type burstSource struct {
+	start     time.Time
+	changes   int // every gap from start on
+	gap       time.Duration
+	maxEvents uint64
+	calls     atomic.Int64
+}
+
+func (s *burstSource) revision() uint64 {
+	n := int(time.Since(s.start)/s.gap) + 1
+	return 1 + uint64(max(0, min(n, s.changes)))
+}
+
+func (s *burstSource) Read(context.Context) (uint64, []feed.Item, error) {
+	s.calls.Add(1)
+	at := s.revision()
+	time.Sleep(50 * time.Millisecond)
+	return at, []feed.Item{{Key: "op/config", Revision: at}}, nil
+}
+
+func (s *burstSource) Watch(_ context.Context, after uint64, wait time.Duration) (uint64, []feed.Item, error) {
+	s.calls.Add(1)
+	for end := time.Now().Add(wait); s.revision() == after && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	time.Sleep(20 * time.Millisecond)
+	to := s.revision()
+	switch {
+	case to-after > s.maxEvents:
+		return 0, nil, feed.ErrUnusable
+	case to == after:
+		return to, nil, nil
+	}
+	return to, []feed.Item{{Key: "op/config", Revision: to}}, nil
+}
+
+// TestUnusableWatch guards against a watch whose response cannot be used, for example
+// because large changes came in a burst, and that is repeated unchanged: no host learned of
+// any later change until the platform dropped that history.
+func TestUnusableWatch(t *testing.T) {
+	for name, s := range map[string]*burstSource{
+		"burst":  {changes: 25, gap: 60 * time.Millisecond, maxEvents: 3},
+		"always": {changes: 100, gap: 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s.start = time.Now().Add(5 * time.Second)
+				clk := clock.NewMonotonic()
+				counters := metrics.New()
+				c := New(Config{
+					Clock: clk, Store: state.NewStore(state.Member{DataCentre: "dc2"}), Source: s, Decoder: emptyDecoder{},
+					Roster: fixedRoster{roster.NewView(roster.Host{Address: "self", DataCentre: "dc2"}, nil)},
+					Flush:  func() {}, Counters: counters, Log: zap.NewNop(), Rand: rand.New(rand.NewPCG(1, 1)),
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan bool)
+				time.Sleep(time.Millisecond) // clock time 0 means never
+				go func() { c.Run(ctx); done <- true }()
+				time.Sleep(time.Until(s.start))
+				before := s.calls.Load()
+				const appliedWithin = 2 * time.Second
+				var published []uint64 // revision at each step
+				for step := range 350 {
+					time.Sleep(100 * time.Millisecond)
+					synctest.Wait()
+					published = append(published, s.revision())
+					due := step - int(appliedWithin/(100*time.Millisecond))
+					if due >= 0 && c.revision.Load() < published[due] {
+						t.Errorf("revision %d after %v, %d was published %v before", c.revision.Load(), time.Since(s.start), published[due], appliedWithin)
+						break
+					}
+				}
+				if calls, limit := s.calls.Load()-before, int64(4*35); calls > limit {
+					t.Errorf("%d calls in 35 s, at most %d allowed", calls, limit)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -30,9 +30,13 @@
 // ErrContentTooLarge means that the published items exceed MaxContentBytes.
 var ErrContentTooLarge = errors.New("feed: the published items take up too much memory")
 
+// ErrUnusable means that the platform sent a response that cannot be used: it is too large,
+// was cut off or cannot be decoded. The same call would probably get it again.
+var ErrUnusable = errors.New("feed: the platform's response cannot be used")
+
 // Source is the service of the platform that publishes the items. Every call has a
-// cost and can fail, hang, or be refused. Errors other than ErrCompacted carry no
-// information about the content.
+// cost and can fail, hang, or be refused. Errors other than ErrCompacted and ErrUnusable
+// carry no information about the content.
 type Source interface {
 	// Read returns the whole content, complete as of revision at. Items that
 	// change during the call may be newer.
