Let the end of a call to the store wait for room in the queue

Cause: finishCall was queued without waiting. If the queue was full just then, it was dropped and the call counted as in flight for good: the host never called the store again.

Change: the goroutine of the call waits for room, or for the end of Run.

--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -254,7 +254,11 @@
 		if p := panics.Try(func() { err = f(ctx) }); p != nil {
 			err = p.AsError()
 		}
-		c.enqueue(func() { c.finishCall(ctx, wg, err) })
+		// Waits if the queue is full: without finishCall there is no further call.
+		select {
+		case c.work <- func() { c.finishCall(ctx, wg, err) }:
+		case <-ctx.Done():
+		}
 	})
 }
 
--- a/internal/controller/feeds/watch_test.go
+++ b/internal/controller/feeds/watch_test.go
@@ -180,3 +180,37 @@
 		})
 	}
 }
+
+// TestCallEndsWhileQueueIsFull guards against a host that never calls the platform again
+// because the end of a call found the queue of work full.
+func TestCallEndsWhileQueueIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &burstSource{start: time.Now().Add(3 * time.Second), changes: 100, gap: 300 * time.Millisecond, maxEvents: 100}
+		c := New(Config{
+			Clock: clock.NewMonotonic(), Store: state.NewStore(state.Member{DataCentre: "dc2"}), Source: s, Decoder: emptyDecoder{},
+			Roster: fixedRoster{roster.NewView(roster.Host{Address: "self", DataCentre: "dc2"}, nil)},
+			Flush:  func() {}, Counters: metrics.New(), Log: zap.NewNop(), Rand: rand.New(rand.NewPCG(1, 1)),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan bool)
+		time.Sleep(time.Millisecond) // clock time 0 means never
+		go func() { c.Run(ctx); done <- true }()
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+		is.True(c.callInFlight.Load()) // a watch that ends with the first change
+		busy := make(chan struct{})
+		is.True(c.enqueue(func() { <-busy }))
+		synctest.Wait()
+		for c.enqueue(func() {}) {
+		}
+		time.Sleep(3 * time.Second) // the watch ends meanwhile
+		synctest.Wait()
+		close(busy)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		is.True(c.revision.Load() >= s.revision()-1)
+		cancel()
+		<-done
+	})
+}
