Keep listeners after a failed accept

Cause: the HTTP servers of readiness checks, of operators, and of callers of anvilfront serve end at the first error of their listener, such as a moment without free file descriptors. The host served on, but the balancer took it for stopped.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -29,6 +29,7 @@
 	"github.com/anvilfront/anvilfront/internal/controller/servers"
 	"github.com/anvilfront/anvilfront/internal/filters"
 	"github.com/anvilfront/anvilfront/internal/front"
+	"github.com/anvilfront/anvilfront/internal/listen"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/metrics"
 	"github.com/anvilfront/anvilfront/internal/operator"
@@ -102,7 +103,7 @@
 		name, address string
 		listener      *net.Listener
 	}{{"callers", s.Listen, &e.callerListener}, {"peers", s.Peer, &e.peerListener}, {"operators", s.Operator, &e.operatorListener}} {
-		opened, err := net.Listen("tcp", l.address)
+		opened, err := listen.TCP(l.address)
 		if err != nil {
 			e.closeListeners()
 			return nil, errors.Wrapf(err, "listen for %s", l.name)
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -31,6 +31,7 @@
 	"github.com/anvilfront/anvilfront/internal/feed"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/filters"
+	"github.com/anvilfront/anvilfront/internal/listen"
 	"github.com/anvilfront/anvilfront/internal/metrics"
 	"github.com/anvilfront/anvilfront/internal/operator"
 	"github.com/anvilfront/anvilfront/internal/peer"
@@ -214,11 +215,11 @@
 		Listener: callerListener, Codec: h.adapter.Codec, Chain: h.chain(), Store: h.store, Clock: h.clock, Counters: h.counters,
 		Log: h.log.Named("callers"), MaxConnections: maxCallerConnections, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: requestBodyBytes(s), Observe: h.observe,
 	})
-	if h.listeners.ready, err = net.Listen("tcp", s.Ready); err != nil {
+	if h.listeners.ready, err = listen.TCP(s.Ready); err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
 	h.ready = &fasthttp.Server{Handler: h.adapter.Ready(h.Ready), NoDefaultServerHeader: true}
-	if h.listeners.operator, err = net.Listen("tcp", s.Operator); err != nil {
+	if h.listeners.operator, err = listen.TCP(s.Operator); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
 	h.publishGauges()
