Install the SIGHUP handler before the settings are read

Cause: a host installed its handler after it had been assembled. SIGHUP before that, when the settings changed while it started, ended the process.

Change: the handler is installed first; the signal waits until the host runs.

--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -26,6 +26,10 @@
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
+	// The settings may change while the host starts. Without a handler SIGHUP would end it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return &exitError{ExitError, err, "run 'anvilfront check --settings " + c.Settings + "' until it reports no errors"}
@@ -45,9 +49,6 @@
 	if err != nil {
 		return &exitError{ExitError, errors.Wrap(err, "start"), "check that the addresses in " + c.Settings + " belong to this host and are not in use"}
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(stop)
