Let the next host call the store when it refuses one

Cause: a failed call was not told to anybody. With the first three hosts of a data centre refused, no host had a response for 2.8 s, and the store counted as away for all, so that the others waited 3 s for each rank.

Change: a host whose calls fail says so in its heartbeats, in a field that older hosts ignore. The others of its data centre leave it out of the ranks for the watch. Once no host anywhere gets a response the ranks are as before, so that few hosts call a store that is away.

--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -110,7 +110,9 @@
 	confirmedAt     atomic.Int64  // clock.Time at which the replica was last known to be complete; 0: never
 	respondedAt     atomic.Int64  // clock.Time of the newest known response of the platform to any host; 0: never
 	callInFlight    atomic.Bool
-	wokenByChange   atomic.Bool // the last watch ended with a change, as did the watches of other hosts
+	failing         atomic.Bool                     // the newest call of this host failed
+	failingHosts    atomic.Pointer[map[string]bool] // addresses of hosts of the data centre whose calls fail; written by Run's goroutine
+	wokenByChange   atomic.Bool                     // the last watch ended with a change, as did the watches of other hosts
 
 	// Used by Run's goroutine only.
 	replica      *feed.Replica
@@ -141,6 +143,7 @@
 func New(cfg Config) *Controller {
 	c := &Controller{cfg: cfg, log: cfg.Log.Named("feeds"), work: make(chan func(), 256), replica: feed.New(), content: &Content{}, stopped: make(chan struct{})}
 	c.servers = newServerTable()
+	c.failingHosts.Store(&map[string]bool{})
 	c.platformCalls, c.platformCallsFailed = cfg.Counters.Int("feeds.platform_calls"), cfg.Counters.Int("feeds.platform_calls_failed")
 	c.platformResponsesUnusable = cfg.Counters.Int("feeds.platform_responses_unusable")
 	c.pulls, c.pullsBusy, c.dropped = cfg.Counters.Int("feeds.pulls"), cfg.Counters.Int("feeds.pulls_busy"), cfg.Counters.Int("feeds.dropped")
@@ -229,7 +232,7 @@
 		return
 	}
 	v := c.cfg.Roster.View()
-	rank := v.Rank("feed")
+	rank := c.rank(now, v)
 	if !c.replica.Complete() {
 		if rank != 0 && now.Sub(0) < initialPeerWait {
 			return
@@ -245,6 +248,17 @@
 	}
 }
 
+// rank returns the rank of this host among those that may watch the platform. Hosts whose
+// calls fail are left out, since the platform may refuse some hosts and serve the others. A
+// host whose own calls fail, and all hosts once none gets a response, keep their rank, so
+// that few of them call a platform that is away.
+func (c *Controller) rank(now clock.Time, v *roster.View) int {
+	if c.failing.Load() || c.availability.Unavailable(now) {
+		return v.Rank("feed")
+	}
+	return v.RankWithout("feed", *c.failingHosts.Load())
+}
+
 // startCall runs one call to the platform concurrently with Run.
 func (c *Controller) startCall(ctx context.Context, wg *conc.WaitGroup, f func(context.Context) error) {
 	c.callInFlight.Store(true)
@@ -271,6 +285,7 @@
 	now := c.cfg.Clock.Now()
 	if err == nil || errors.Is(err, feed.ErrCompacted) || errors.Is(err, feed.ErrUnusable) {
 		c.recordResponse(now)
+		c.failing.Store(false)
 	}
 	switch {
 	case err == nil:
@@ -300,6 +315,9 @@
 		c.startCall(ctx, wg, c.readAll)
 	default:
 		c.platformCallsFailed.Add(1)
+		if !c.failing.Swap(true) {
+			c.cfg.Flush() // the next host in rank takes over
+		}
 		if c.backoff == 0 {
 			c.log.Warn("A call to the platform failed. Serving continues with the last known content, and further calls back off.", zap.Error(err), zap.Uint64("revision", c.replica.Revision()))
 		}
--- a/internal/controller/feeds/peers.go
+++ b/internal/controller/feeds/peers.go
@@ -23,7 +23,7 @@
 func (c *Controller) AddToDigest(now clock.Time, b *wire.Heartbeat) { b.Feed = c.position(now) }
 
 func (c *Controller) position(now clock.Time) wire.FeedPosition {
-	m := wire.FeedPosition{Changed: c.changedRevision.Load()}
+	m := wire.FeedPosition{Changed: c.changedRevision.Load(), Failing: c.failing.Load()}
 	if m.Changed == 0 {
 		return m
 	}
@@ -43,6 +43,9 @@
 // when this replica contains every change of the sender's replica, and fetches
 // the sender's changes otherwise.
 func (c *Controller) Received(now clock.Time, b *wire.Heartbeat) {
+	if v := c.cfg.Roster.View(); b.From.DataCentre == v.Self.DataCentre && (*c.failingHosts.Load())[b.From.Address] != b.Feed.Failing {
+		c.enqueue(func() { c.setFailing(b.From.Address, b.Feed.Failing) })
+	}
 	if b.Feed.Changed == 0 {
 		return
 	}
@@ -71,6 +74,21 @@
 	})
 }
 
+// setFailing records whether the calls of another host of the data centre fail. Run's
+// goroutine calls it.
+func (c *Controller) setFailing(address string, failing bool) {
+	next := map[string]bool{}
+	for _, h := range c.cfg.Roster.View().Local {
+		if (*c.failingHosts.Load())[h.Address] {
+			next[h.Address] = true
+		}
+	}
+	if delete(next, address); failing {
+		next[address] = true
+	}
+	c.failingHosts.Store(&next)
+}
+
 // startPull asks another host for missing changes, if one has them and none is being
 // asked. Run's goroutine calls it.
 func (c *Controller) startPull() {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -220,6 +220,12 @@
 // the task named key: 0 is the owner, 1 is the first standby, which takes over when
 // the owner fails. A leaving host gets -1, unless no other host may own the task.
 func (v *View) Rank(key string) int {
+	return v.RankWithout(key, nil)
+}
+
+// RankWithout returns the rank of this host as Rank does, but leaves out other hosts whose
+// addresses are excluded.
+func (v *View) RankWithout(key string, excluded map[string]bool) int {
 	if v.Self.Leaving {
 		if len(v.eligible) == 0 {
 			return 0
@@ -229,6 +235,9 @@
 	k := rendezvous.NewKey(key)
 	ownScore, rank := k.Score(v.Self.Address), 0
 	for _, address := range v.eligible {
+		if excluded[address] {
+			continue
+		}
 		if s := k.Score(address); s > ownScore || s == ownScore && address < v.Self.Address {
 			rank++
 		}
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -38,6 +38,8 @@
 	// AnsweredMillis is the time since the platform's newest response to any host,
 	// as far as the sender knows; 0 means none.
 	AnsweredMillis uint32 `cbor:"3,keyasint,omitempty"`
+	// Failing is set while the sender's own calls to the platform fail.
+	Failing bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Reading is the load that a backend server reported.
