Give back the memory of a body whose request cannot be started

Cause: the memory of a body was given back by the goroutine of its request. If decoding the request panicked before that, it stayed reserved for good.

Change: reading one request is a function of its own, which gives back what the request has not taken over. The rest of a body is discarded only after a 413 or 503, not after a request that timed out or is malformed.

--- a/internal/bodies/account.go
+++ b/internal/bodies/account.go
@@ -39,8 +39,11 @@
 	return true
 }
 
-// Release gives back the reserved memory.
+// Release gives back the reserved memory. The zero value holds none.
 func (r *Reservation) Release() {
+	if r.bytes == 0 {
+		return
+	}
 	r.Account.used.Add(-r.bytes)
 	r.bytes = 0
 }
--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -30,9 +30,6 @@
 	if length < -1 {
 		length = 0 // a request without a length has no body
 	}
-	if !req.MayContinue() {
-		c.unread = limit // of the body, in case it is refused
-	}
 	switch {
 	case length > limit:
 		return fasthttp.ErrBodyTooLarge
@@ -54,6 +51,6 @@
 	case !complete:
 		return errMemory
 	}
-	body.data, c.unread = held, 0
+	body.data = held
 	return nil
 }
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -38,7 +38,7 @@
 	lastDone      chan struct{} // closed when the newest request is done; nil before the first request
 	pipelineSlots chan struct{} // one element for each concurrent request
 
-	unread int // bytes of a refused body that the caller may still send; used by run's goroutine
+	unread int // bytes that the caller may still send of a refused body; used by run's goroutine
 }
 
 func newConn(s *Server, netConn net.Conn) *conn {
@@ -121,38 +121,45 @@
 		if err := c.awaitRequest(limits); err != nil {
 			return timedOut(err)
 		}
-		req := fasthttp.AcquireRequest()
-		_ = c.netConn.SetReadDeadline(time.Now().Add(time.Duration(limits.HeaderTime)))
-		body := requestBody{memory: bodies.Reservation{Account: c.server.memory}}
-		if out := c.readRequest(req, limits, &body); out != nil {
-			body.memory.Release()
-			fasthttp.ReleaseRequest(req)
-			if out.Reason == verdict.ReasonCallerGone {
-				return false
-			}
-			c.start(nil, body, out, true, false)
-			return true
+		if last, graceful := c.readOne(limits); last {
+			return graceful
 		}
-		_ = c.netConn.SetReadDeadline(time.Time{})
-		r, refusal := c.server.Codec.Decode(req)
-		r.Caller, r.Body = c.caller, body.data
-		closeConn := req.ConnectionClose() || c.server.keepAliveDisabled.Load()
-		chunks := req.Header.IsHTTP11()
-		sequential := !req.Header.IsGet() && !req.Header.IsHead()
+	}
+}
+
+// readOne reads one request and starts it. last is true if no other request is read from
+// the connection; graceful is as for read.
+func (c *conn) readOne(limits manifest.Limits) (last, graceful bool) {
+	body := requestBody{memory: bodies.Reservation{Account: c.server.memory}}
+	defer func() { body.memory.Release() }() // unless the request has taken it over
+	req := fasthttp.AcquireRequest()
+	_ = c.netConn.SetReadDeadline(time.Now().Add(time.Duration(limits.HeaderTime)))
+	if out := c.readRequest(req, limits, &body); out != nil {
 		fasthttp.ReleaseRequest(req)
-		if sequential && c.lastDone != nil {
-			<-c.lastDone // only idempotent requests run concurrently
-		}
-		if !c.acceptRequest() {
-			body.memory.Release()
-			return true // sent before the caller received the last response; not run
-		}
-		c.pipelineSlots <- struct{}{}
-		c.start(r, body, refusal, closeConn, chunks)
-		if closeConn {
-			return true
+		if out.Reason == verdict.ReasonCallerGone {
+			return true, false
 		}
+		c.start(nil, requestBody{}, out, true, false)
+		return true, true
+	}
+	_ = c.netConn.SetReadDeadline(time.Time{})
+	r, refusal := c.server.Codec.Decode(req)
+	r.Caller, r.Body = c.caller, body.data
+	closeConn := req.ConnectionClose() || c.server.keepAliveDisabled.Load()
+	chunks := req.Header.IsHTTP11()
+	sequential := !req.Header.IsGet() && !req.Header.IsHead()
+	fasthttp.ReleaseRequest(req)
+	if sequential && c.lastDone != nil {
+		<-c.lastDone // only idempotent requests run concurrently
+	}
+	if !c.acceptRequest() {
+		return true, true // sent before the caller received the last response; not run
 	}
+	c.pipelineSlots <- struct{}{}
+	started := body
+	body = requestBody{}
+	c.start(r, started, refusal, closeConn, chunks)
+	return closeConn, true
 }
 
 // acceptRequest counts a request that was read. It returns false when a response
@@ -210,8 +217,10 @@
 	case errors.As(err, &small):
 		return refusal(verdict.ReasonHeaderTooLarge, err)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		c.unread = limits.BodyBytes
 		return refusal(verdict.ReasonTooLarge, err)
 	case errors.Is(err, errMemory):
+		c.unread = limits.BodyBytes
 		c.server.refusedBodies.Add(1)
 		out := refusal(verdict.ReasonOverload, err)
 		out.RetryAfter = memoryRetryAfter/2 + rand.N(memoryRetryAfter)
