Move the calls to the platform to a file of their own

Change: the calls to the platform, and what decides when they are made, are in calls.go. The read after a pause counts as a call.

Result: the tests of the package pass.

--- /dev/null
+++ b/internal/controller/feeds/calls.go
@@ -0,0 +1,240 @@
+package feeds
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/feed"
+	"github.com/anvilfront/anvilfront/internal/roster"
+)
+
+func (c *Controller) elapsedSince(t *atomic.Int64, now clock.Time) time.Duration {
+	if v := t.Load(); v != 0 {
+		return now.Sub(clock.Time(v))
+	}
+	return now.Sub(0) + feed.FallbackTimeout // never: reported as older than the process
+}
+
+// startDueCall starts a call to the platform when this host should make one.
+func (c *Controller) startDueCall(ctx context.Context, wg *conc.WaitGroup) {
+	now := c.cfg.Clock.Now()
+	if now.Before(c.nextCallAt) || c.callInFlight.Load() {
+		return
+	}
+	v := c.cfg.Roster.View()
+	rank := c.rank(now, v)
+	if !c.replica.Complete() {
+		if rank != 0 && now.Sub(0) < initialPeerWait {
+			return
+		}
+		c.startCall(ctx, wg, c.readAll)
+		return
+	}
+	if now.Sub(0) < initialPeerWait && c.elapsedSince(&c.confirmedAt, now) < initialPeerWait {
+		return // just confirmed, and the host that watches may not be known yet
+	}
+	if feed.ShouldWatch(rank, c.elapsedSince(&c.confirmedAt, now), true, c.availability.Unavailable(now)) {
+		c.startCall(ctx, wg, c.watch)
+	}
+}
+
+// rank returns the rank of this host among those that may watch the platform. Hosts whose
+// calls fail are left out, since the platform may refuse some hosts and serve the others. A
+// host whose own calls fail, and all hosts once none gets a response, keep their rank, so
+// that few of them call a platform that is away.
+func (c *Controller) rank(now clock.Time, v *roster.View) int {
+	if c.failing.Load() || c.availability.Unavailable(now) {
+		return v.Rank("feed")
+	}
+	return v.RankWithout("feed", *c.failingHosts.Load())
+}
+
+// startCall runs one call to the platform concurrently with Run.
+func (c *Controller) startCall(ctx context.Context, wg *conc.WaitGroup, f func(context.Context) error) {
+	c.callInFlight.Store(true)
+	c.platformCalls.Add(1)
+	wg.Go(func() {
+		var err error
+		if p := panics.Try(func() { err = f(ctx) }); p != nil {
+			err = p.AsError()
+		}
+		// Waits if the queue is full: without finishCall there is no further call.
+		select {
+		case c.work <- func() { c.finishCall(ctx, wg, err) }:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// errWatchUnusable means that the response to a watch cannot be used. A watch for changes
+// after the same revision would get it again, so that the content is read instead.
+var errWatchUnusable = errors.New("feeds: response to a watch")
+
+func (c *Controller) finishCall(ctx context.Context, wg *conc.WaitGroup, err error) {
+	c.callInFlight.Store(false)
+	now := c.cfg.Clock.Now()
+	if err == nil || errors.Is(err, feed.ErrCompacted) || errors.Is(err, feed.ErrUnusable) {
+		c.recordResponse(now)
+		c.failing.Store(false)
+	}
+	switch {
+	case err == nil:
+		if c.backoff > 0 {
+			c.log.Info("Calls to the platform succeed again. The retry backoff is reset.")
+		}
+		c.backoff, c.nextCallAt = 0, 0
+		if c.unusable > 0 {
+			// The whole content was read in place of a watch. The next watch may fail again.
+			c.nextCallAt = now.Add(min(changeBatchDelay<<min(c.unusable-1, 8), maxUnusableDelay))
+			return
+		}
+		if c.gotChanges {
+			c.gotChanges, c.nextCallAt = false, now.Add(changeBatchDelay)
+			c.wokenByChange.Store(true)
+			return
+		}
+		c.startDueCall(ctx, wg)
+	case errors.Is(err, feed.ErrCompacted):
+		c.log.Info("The platform no longer has the changes since the known revision. The whole content is read again.", zap.Uint64("revision", c.replica.Revision()))
+		c.startCall(ctx, wg, c.readAll)
+	case ctx.Err() != nil:
+	case errors.Is(err, errWatchUnusable):
+		c.unusable++
+		c.platformResponsesUnusable.Add(1)
+		c.log.Warn("The response to a watch cannot be used. The whole content is read in pages.", zap.Error(err), zap.Uint64("revision", c.replica.Revision()))
+		c.startCall(ctx, wg, c.readAll)
+	default:
+		c.platformCallsFailed.Add(1)
+		if !c.failing.Swap(true) {
+			c.cfg.Flush() // the next host in rank takes over
+		}
+		if c.backoff == 0 {
+			c.log.Warn("A call to the platform failed. Serving continues with the last known content, and further calls back off.", zap.Error(err), zap.Uint64("revision", c.replica.Revision()))
+		}
+		c.backoff = min(max(2*c.backoff, minRetryBackoff), maxRetryBackoff)
+		c.nextCallAt = now.Add(c.backoff/2 + time.Duration(c.cfg.Rand.Int64N(int64(c.backoff))))
+	}
+}
+
+// recordResponse records a response of the platform at t to this or another
+// host.
+func (c *Controller) recordResponse(t clock.Time) {
+	c.availability.RecordResponse(t)
+	c.respondedAt.Store(int64(c.availability.LastResponse()))
+}
+
+func (c *Controller) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	requestedAt := c.cfg.Clock.Now()
+	at, items, err := c.cfg.Source.Read(ctx)
+	if err != nil {
+		return err
+	}
+	c.enqueue(func() {
+		c.recordResponse(c.cfg.Clock.Now())
+		c.replica.Replace(at, items)
+		c.recordConfirmation(requestedAt)
+		c.publish()
+	})
+	return nil
+}
+
+func (c *Controller) watch(ctx context.Context) error {
+	done := make(chan uint64, 1)
+	if !c.enqueue(func() { done <- c.replica.Revision() }) {
+		return errors.New("feeds: work queue full")
+	}
+	var after uint64
+	select {
+	case after = <-done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	wait := c.wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	requestedAt := c.cfg.Clock.Now()
+	to, events, err := c.cfg.Source.Watch(ctx, after, wait)
+	switch {
+	case errors.Is(err, feed.ErrUnusable):
+		return errors.Join(errWatchUnusable, err)
+	case err != nil:
+		return err
+	}
+	completeAt := requestedAt
+	if len(events) == 0 && c.cfg.Clock.Now().Sub(requestedAt) >= wait {
+		completeAt = requestedAt.Add(wait) // the platform checked for changes until then
+	}
+	c.enqueue(func() {
+		c.recordResponse(c.cfg.Clock.Now())
+		c.gotChanges, c.unusable = len(events) > 0, 0
+		if c.replica.Apply(after, to, events) {
+			c.recordConfirmation(completeAt)
+			c.publish()
+		}
+	})
+	return nil
+}
+
+// wait returns how long the next watch waits for changes.
+func (c *Controller) wait() time.Duration {
+	v := c.cfg.Roster.View()
+	index, dataCentres := 0, 1+len(v.Remote)
+	for dc := range v.Remote {
+		if dc < v.Self.DataCentre {
+			index++
+		}
+	}
+	if c.wokenByChange.Swap(false) {
+		return feed.FirstWait(index, dataCentres)
+	}
+	return feed.WatchWait(dataCentres)
+}
+
+// Refresh queries the platform once for changes, for use after the process was
+// paused. It returns when the changes are applied, the query failed or was not
+// queued, or ctx ends.
+func (c *Controller) Refresh(ctx context.Context) {
+	done := make(chan struct{})
+	if !c.enqueue(func() {
+		after := c.replica.Revision()
+		c.background.Go(func() {
+			defer close(done)
+			to, events, err := c.cfg.Source.Watch(ctx, after, 0)
+			if errors.Is(err, feed.ErrUnusable) || errors.Is(err, feed.ErrCompacted) {
+				c.platformCalls.Add(1)
+				if err = c.readAll(ctx); err == nil {
+					c.enqueueAndWait(func() {}) // the content that was read is applied
+					return
+				}
+			}
+			if err != nil {
+				c.log.Info("The platform could not be queried after a pause of the process. Serving continues with the last known content.", zap.Error(err))
+				return
+			}
+			requestedAt := c.cfg.Clock.Now()
+			c.enqueueAndWait(func() {
+				c.recordResponse(requestedAt)
+				if c.replica.Apply(after, to, events) {
+					c.recordConfirmation(requestedAt)
+					c.publish()
+				}
+			})
+		})
+	}) {
+		return
+	}
+	c.platformCalls.Add(1)
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/internal/controller/feeds/peers.go
+++ b/internal/controller/feeds/peers.go
@@ -83,7 +83,8 @@
 			next[h.Address] = true
 		}
 	}
-	if delete(next, address); failing {
+	delete(next, address)
+	if failing {
 		next[address] = true
 	}
 	c.failingHosts.Store(&next)
