Authenticate requests by the keys of client accounts

Cause: nothing read the accounts of a configuration: requests ran without a key, and the key itself was forwarded to backend servers.

Change: the configuration's accounts are decoded and indexed by the hash of their keys; the route filter finds the account of a request, the new filter "account" refuses a request without one (401, reason "unauthorized"), and the adapter replaces credential and account in what backend servers get. The reason "quota" is added for the filter that follows.

--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -253,6 +253,8 @@
 		filters.Deadline{},
 		// Selects the route and the service.
 		filters.Route{},
+		// Refuses requests without the key of a client account.
+		filters.Account{},
 		// Retries the rest of the chain, within the retry budget.
 		&filters.Retry{Clock: h.clock, Counters: h.counters, MaxTokens: func() float64 {
 			return filters.SlackShare(h.settings.RetrySlack, h.mesh.View().Size())
--- a/internal/feedhost/observe.go
+++ b/internal/feedhost/observe.go
@@ -61,6 +61,9 @@
 	if x.Service != nil {
 		f = append(f, zap.String("service", x.Service.Name))
 	}
+	if x.Account != nil {
+		f = append(f, zap.String("account", x.Account.Name))
+	}
 	if len(x.Tried) > 0 {
 		f = append(f, zap.Strings("tried", x.Tried))
 	}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -28,6 +28,9 @@
 	Query   string // without the question mark
 	Headers []Header
 	Body    []byte
+	// Credential is the key of a client account that the caller sent, or "". It is neither
+	// forwarded nor logged.
+	Credential string
 }
 
 // Get returns the first header with the given canonical name, or "".
@@ -75,14 +78,18 @@
 	// Snapshot is loaded once per request. The route filter replaces it by one without
 	// manifest and backend servers, which a request that runs for long must not keep in
 	// memory after they have changed.
-	Snapshot          *state.Snapshot
-	Revision          uint64 // of the manifest that Route and Service were copied from
-	Request           *Request
-	Arrived           clock.Time // when the front end had the whole request
-	Deadline          clock.Time // set by the deadline filter; never extended
-	HostEnds          clock.Time // when this process ends, if its stop has begun; else 0
-	Route             *manifest.Route
-	Service           *manifest.Service
+	Snapshot *state.Snapshot
+	Revision uint64 // of the manifest that Route and Service were copied from
+	Request  *Request
+	Arrived  clock.Time // when the front end had the whole request
+	Deadline clock.Time // set by the deadline filter; never extended
+	HostEnds clock.Time // when this process ends, if its stop has begun; else 0
+	Route    *manifest.Route
+	Service  *manifest.Service
+	// Accounts is set when the configuration has client accounts. Account is then the one
+	// whose key the request has, without its keys, or nil. The route filter sets both.
+	Accounts          bool
+	Account           *manifest.Account
 	Nested            bool   // the request carries a retry budget header: it is not retried here after dispatch
 	Forwarded         bool   // the request came from another entry host, which is not the owner of its key
 	Key               string // order key as sent by the caller, or ""
@@ -110,6 +117,14 @@
 	NotRunConfirmed bool
 }
 
+// AccountName returns the name of the request's client account, or "".
+func (x *Exchange) AccountName() string {
+	if x.Account == nil {
+		return ""
+	}
+	return x.Account.Name
+}
+
 // PlacementEstimate is what a placement was based on. The zero value means that
 // no server could be chosen.
 type PlacementEstimate struct {
--- a/internal/filter/ports.go
+++ b/internal/filter/ports.go
@@ -49,6 +49,11 @@
 	Instance string
 	Probe    bool // a health or load probe, not a request of a caller
 	Request  *Request
+	// Accounts is set when the configuration has client accounts: what the caller sent as
+	// credential or account is not forwarded. Account is the name of the request's
+	// account, or "".
+	Accounts bool
+	Account  string
 	// Remaining is the time budget passed on to the backend server.
 	Remaining time.Duration
 	// Timeout bounds the wait for the whole response.
--- a/internal/filters/dispatch.go
+++ b/internal/filters/dispatch.go
@@ -46,6 +46,7 @@
 	res := d.Transport.Do(ctx, &filter.Attempt{
 		Address: g.Server.Address, Instance: g.Server.Name, Request: x.Request,
 		Remaining: x.Deadline.Sub(d.Clock.Now()), Timeout: timeout, Cleanup: x.Cleanup,
+		Accounts: x.Accounts, Account: x.AccountName(),
 		BeforeFirstByte: func() error {
 			var err error
 			refusal, err = d.checkBeforeSend(x)
--- a/internal/filters/route.go
+++ b/internal/filters/route.go
@@ -16,9 +16,11 @@
 	snapshot state.Snapshot // without manifest and backend servers
 	route    manifest.Route
 	service  manifest.Service
+	account  manifest.Account
 }
 
-// Route selects the first route of the manifest that matches, and the service.
+// Route selects the first route of the manifest that matches, the service, and the client
+// account that the request belongs to.
 type Route struct{}
 
 // noConfigurationRetryAfter is the mean retry delay of callers that a host refuses
@@ -50,6 +52,13 @@
 		route:    *route, service: *service,
 	}
 	x.Snapshot, x.Route, x.Service, x.Revision = &s.snapshot, &s.route, &s.service, m.File.Revision
+	if x.Accounts = m.HasAccounts(); x.Accounts && x.Request.Credential != "" {
+		if a := m.AccountOf(manifest.HashKey(x.Request.Credential)); a != nil {
+			s.account = *a
+			s.account.Keys = nil
+			x.Account = &s.account
+		}
+	}
 	if x.Route.Deadline > 0 {
 		shortenDeadline(x, x.Arrived.Add(time.Duration(x.Route.Deadline)))
 	}
--- a/internal/manifest/compile.go
+++ b/internal/manifest/compile.go
@@ -25,5 +25,6 @@
 		s := &f.Services[i]
 		m.Services[s.Name] = s
 	}
+	m.accountsByKey = indexAccounts(f.Accounts)
 	return m
 }
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -53,6 +53,9 @@
 	Limits      Limits       `toml:"limits"` // on what callers send; zero values keep the limits of the settings
 	Alerts      []AlertRule  `toml:"alerts"`
 	Dropped     []Dropped    `toml:"dropped"`
+	// Accounts are the client accounts of a configuration that a feed publishes. With
+	// none, requests need no key.
+	Accounts []Account `toml:"-"`
 }
 
 // Limits are the limits on the size and time of what a caller sends. A zero
@@ -121,6 +124,7 @@
 	Retries      int               `toml:"retries"`       // maximum retries of one request; default 0
 	RetryErrors  bool              `toml:"retry_errors"`  // retry idempotent requests after a server error
 	RetryPercent float64           `toml:"retry_percent"` // maximum retries as a percentage of the requests of the route; default 10
+	Public       bool              `toml:"-"`             // requests need no key of an account
 }
 
 // WeightedService is one of several services among which a route is split.
@@ -154,4 +158,5 @@
 	Services          map[string]*Service
 	DataCentresByName map[string]*DataCentre
 	Warnings          []Problem // harmless but probably unintended settings, in the order of lines
+	accountsByKey     map[KeyHash]*Account
 }
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -47,6 +47,8 @@
 	ReasonNoConfiguration
 	ReasonHeaderTooLarge
 	ReasonRequestTimeout
+	ReasonUnauthorized
+	ReasonQuota
 	NumReasons // number of reasons; not a reason
 )
 
@@ -98,6 +100,8 @@
 	ReasonNoConfiguration:  {"no_configuration", 503, "this entry host knows no configuration yet"},
 	ReasonHeaderTooLarge:   {"header_too_large", 431, "the header exceeds its size limit"},
 	ReasonRequestTimeout:   {"request_timeout", 408, "the caller took too long to send the request"},
+	ReasonUnauthorized:     {"unauthorized", 401, "the request has no key of a client account"},
+	ReasonQuota:            {"quota", 429, "the client account has used up its quota"},
 }
 
 // String returns the name used in headers, counters and logs.
