Keep the keys of accounts out of the log

Cause: the errors of the HTTP library quote the header that it could not read, and the log line of a refused request has its cause. A malformed, too large or unfinished request with a key put the key into the log.

Change: requests that cannot be read get constant causes in place of the library's text.

Result: TestAccountHeaderBytes, which sends keys and accounts in 20 forms of the header, passes; with the library's errors it fails on the log.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -215,7 +215,7 @@
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
-		return refusal(verdict.ReasonHeaderTooLarge, err)
+		return refusal(verdict.ReasonHeaderTooLarge, errHeaderTooLarge)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		c.unread = limits.BodyBytes
 		return refusal(verdict.ReasonTooLarge, err)
@@ -226,13 +226,23 @@
 		out.RetryAfter = memoryRetryAfter/2 + rand.N(memoryRetryAfter)
 		return out
 	case timedOut(err):
-		return refusal(verdict.ReasonRequestTimeout, err)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetworkError(err):
-		return refusal(verdict.ReasonCallerGone, err)
+		return refusal(verdict.ReasonRequestTimeout, os.ErrDeadlineExceeded)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return refusal(verdict.ReasonCallerGone, io.ErrUnexpectedEOF)
+	case isNetworkError(err):
+		cause, _ := errors.Into[*net.OpError](err)
+		return refusal(verdict.ReasonCallerGone, cause)
 	}
-	return refusal(verdict.ReasonBadRequest, err)
+	return refusal(verdict.ReasonBadRequest, errMalformed)
 }
 
+// Causes in place of the errors of fasthttp, which quote the header: it may contain the key
+// of an account, and causes are logged.
+var (
+	errHeaderTooLarge = errors.New("the header does not fit into the read buffer")
+	errMalformed      = errors.New("the header or the body cannot be parsed")
+)
+
 func isNetworkError(err error) bool {
 	_, ok := errors.Into[*net.OpError](err)
 	return ok
