Serve what is valid of an invalid account, and log the rest

An account listed twice was two accounts, and nothing told the operator of it, of a key in two accounts, or of a burst without a rate.

The keys of an account listed twice belong to its first entry.

--- a/internal/feedhost/observe.go
+++ b/internal/feedhost/observe.go
@@ -62,7 +62,7 @@
 		f = append(f, zap.String("service", x.Service.Name))
 	}
 	if x.Account != nil {
-		f = append(f, zap.String("account", x.Account.Name))
+		f = append(f, zap.String("account", x.Account.Label()))
 	}
 	if len(x.Tried) > 0 {
 		f = append(f, zap.Strings("tried", x.Tried))
--- a/internal/manifest/accounts.go
+++ b/internal/manifest/accounts.go
@@ -1,6 +1,10 @@
 package manifest
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"fmt"
+	"strings"
+)
 
 // KeyHash stands for the key with which the requests of a client account identify
 // themselves. Only the hash is kept, so that no log or message can disclose a key.
@@ -21,6 +25,10 @@
 // Limited reports whether the account has a quota.
 func (a *Account) Limited() bool { return a.Rate > 0 }
 
+// Label returns the name for logs and counters, cut to MaxNameBytes: a publisher may use
+// names of any length.
+func (a *Account) Label() string { return strings.ToValidUTF8(truncate(a.Name), "?") }
+
 // HasAccounts reports whether requests need the key of an account, except on public
 // routes.
 func (m *Manifest) HasAccounts() bool { return len(m.File.Accounts) > 0 }
@@ -30,15 +38,22 @@
 func (m *Manifest) AccountOf(key KeyHash) *Account { return m.accountsByKey[key] }
 
 // indexAccounts returns the accounts by key. A key that several accounts list belongs to
-// the first one.
+// the first one. The keys of an account that is listed twice all belong to its first entry,
+// so that its requests are counted together.
 func indexAccounts(accounts []Account) map[KeyHash]*Account {
 	if len(accounts) == 0 {
 		return nil
 	}
 	byKey := make(map[KeyHash]*Account, len(accounts))
+	byName := make(map[string]*Account, len(accounts))
 	for i := range accounts {
 		a := &accounts[i]
-		for _, k := range a.Keys {
+		if first := byName[a.Name]; first != nil && a.Name != "" {
+			a = first
+		} else {
+			byName[a.Name] = a
+		}
+		for _, k := range accounts[i].Keys {
 			if byKey[k] == nil {
 				byKey[k] = a
 			}
@@ -46,3 +61,46 @@
 	}
 	return byKey
 }
+
+// AccountProblem is an invalid setting of an account, and how the account is served
+// nevertheless.
+type AccountProblem struct {
+	Account string // its label, or "" if it has no name
+	Text    string
+}
+
+// CheckAccounts returns what is invalid in the accounts of a configuration. Texts never
+// contain keys.
+func CheckAccounts(accounts []Account) []AccountProblem {
+	var problems []AccountProblem
+	names := make(map[string]int, len(accounts))
+	owners := make(map[KeyHash]int, len(accounts))
+	for i := range accounts {
+		a := &accounts[i]
+		report := func(format string, args ...any) {
+			problems = append(problems, AccountProblem{Account: a.Label(), Text: fmt.Sprintf(format, args...)})
+		}
+		owner := i
+		first, listed := names[a.Name]
+		switch {
+		case a.Name == "":
+			report("entry %d has no name; backend servers get no account name with its requests", i+1)
+		case listed:
+			owner = first
+			report("is listed in the entries %d and %d; the settings of entry %d apply to the keys of both", first+1, i+1, first+1)
+		default:
+			names[a.Name] = i
+		}
+		if a.Burst > 0 && !a.Limited() {
+			report("has a burst without a rate; its requests are not limited")
+		}
+		for n, k := range a.Keys {
+			if other, ok := owners[k]; !ok {
+				owners[k] = owner
+			} else if other != owner {
+				report("key %d is also a key of account %q, which it identifies", n+1, accounts[other].Label())
+			}
+		}
+	}
+	return problems
+}
