Let hosts of a large fleet retry at all

Cause: a host may save up its share of the fleet's slack, slack / (1.5 x known hosts). With 312 hosts and a slack of 430 that is 0.92 of a token, and a retry takes one: no host of such a fleet ever retried or hedged.

Change: a share of less than one token is one token if the slack covers one for each known host, with a quarter to spare.

--- a/internal/filters/budget.go
+++ b/internal/filters/budget.go
@@ -13,13 +13,21 @@
 	// unknownHostFactor is the assumed ratio of all hosts to known hosts. It covers
 	// hosts that are joining and hosts behind a partition.
 	unknownHostFactor = 1.5
+	// wholeTokenFactor is the least slack per known host with which each host may save up a
+	// whole token. With a part of one, a host could never retry.
+	wholeTokenFactor = 1.25
 )
 
 // SlackShare returns how many retries and hedges a host may save up, so that those
 // of all hosts stay within the slack that the fleet is allowed in addition to its
 // retry ratio. known is the number of hosts that this host knows, itself included.
 func SlackShare(slack float64, known int) float64 {
-	return min(maxSlackShare, slack/(unknownHostFactor*float64(max(known, 1))))
+	hosts := float64(max(known, 1))
+	share := min(maxSlackShare, slack/(unknownHostFactor*hosts))
+	if share < 1 && slack >= wholeTokenFactor*hosts {
+		return 1
+	}
+	return share
 }
 
 const milliTokensPerToken = 1000
