Hedge idempotent requests whose server stays silent

Cause: a hedge was sent only if it could still meet the objective, and only once: a request that could not, or that found no token when its response was overdue, waited until its deadline for a server that might never respond.

Such a hedge may miss the objective, and needs a token like the others.

Result: TestSilentServerIsHedged fails before (may have run, after 4 s) and passes.

--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -94,6 +94,7 @@
 	Forwarded         bool   // the request came from another entry host, which is not the owner of its key
 	Key               string // order key as sent by the caller, or ""
 	IsHedge           bool   // a hedged copy of a request that is still in flight elsewhere
+	MayMissObjective  bool   // a hedge that is sent because the other copy may never get a response
 	Grant             *Grant
 	PlacementEstimate PlacementEstimate // what the last placement was based on; for logs
 	Tried             []string          // names of the backend servers that were tried
--- a/internal/filters/hedge.go
+++ b/internal/filters/hedge.go
@@ -57,8 +57,11 @@
 	// A request that crashed a backend server is sent again once, not twice, so it
 	// is not hedged.
 	if f.MaxTokens != nil && x.Route.Idempotent && !x.Crashed && len(x.Tried) < x.Route.Retries {
-		delayAfterDispatch := func(g *filter.Grant) time.Duration { return HedgeDelay(x.Route, g, f.Clock.Now().Sub(x.Arrived)) }
-		return f.race(ctx, x, next, untilDispatch, delayAfterDispatch, f.budgets.get(x.Service.Name).tryWithdraw)
+		delaysAfterDispatch := func(g *filter.Grant) hedgeDelays {
+			now := f.Clock.Now()
+			return hedgeDelays{HedgeDelay(x.Route, g, now.Sub(x.Arrived)), SilenceDelay(g, now.Sub(x.Arrived), x.Deadline.Sub(now))}
+		}
+		return f.race(ctx, x, next, untilDispatch, delaysAfterDispatch, f.budgets.get(x.Service.Name).tryWithdraw)
 	}
 	if x.Service.HedgePercent <= 0 || !x.Route.Idempotent || x.Nested || x.Crashed {
 		return next.Handle(ctx, x)
@@ -66,7 +69,7 @@
 	h := f.hedges.get(x.Service.Name)
 	h.deposit(x.Service.HedgePercent, budgetBurst)
 	start := f.Clock.Now()
-	out := f.race(ctx, x, next, h.delay(), func(*filter.Grant) time.Duration { return 0 }, func() bool {
+	out := f.race(ctx, x, next, h.delay(), func(*filter.Grant) hedgeDelays { return hedgeDelays{} }, func() bool {
 		return h.estimate.Load() != 0 && h.tryWithdraw()
 	})
 	if out.Verdict == verdict.Ran {
@@ -104,17 +107,57 @@
 	return overdue
 }
 
+const (
+	// silenceFactor is the multiple of the expected duration after which a backend server
+	// that has not responded is assumed not to respond at all.
+	silenceFactor = 3
+	// silenceTimeShare is the share of the caller's time after which that is assumed in any
+	// case, so that more than half of it is left for the other copy.
+	silenceTimeShare = 0.35
+	// silenceTimeLeftFactor is the multiple of the expected duration that must be left then.
+	silenceTimeLeftFactor = 1.5
+)
+
+// SilenceDelay returns how long after dispatch a hedge is sent whether or not it can meet
+// the objective, since the backend server may never respond. age is the time since the
+// request arrived, left the time until its deadline. 0 means no hedge.
+func SilenceDelay(g *filter.Grant, age, left time.Duration) time.Duration {
+	if g == nil || g.Expected <= 0 || left <= 0 {
+		return 0
+	}
+	shareEnds := time.Duration(silenceTimeShare*float64(age+left)) - age
+	delay := min(time.Duration(silenceFactor*float64(g.Expected)), max(shareEnds, time.Duration(hedgeOverdueFactor*float64(g.Expected))))
+	if left-delay < time.Duration(silenceTimeLeftFactor*float64(g.Expected)) {
+		return 0
+	}
+	return delay
+}
+
+// hedgeDelays are the times after dispatch at which a hedge may be sent. 0 means none.
+type hedgeDelays struct{ overdue, silent time.Duration }
+
+// next returns the first delay after the given time, or 0.
+func (d hedgeDelays) next(after time.Duration) time.Duration {
+	first := time.Duration(0)
+	for _, delay := range [...]time.Duration{d.overdue, d.silent} {
+		if delay > after && (first == 0 || delay < first) {
+			first = delay
+		}
+	}
+	return first
+}
+
 type copyResult struct {
 	x   *filter.Exchange
 	out filter.Outcome
 }
 
 // race sends one copy of the request, and a hedge if the first copy is slow and
-// allowHedge returns true. The hedge is sent after delay, or after the time from
-// dispatch that delayAfterDispatch returns if it is above 0. The first complete
-// response that is not an error wins and the other copy is cancelled. x.Tried gets the
-// servers of both copies, since both count as attempts.
-func (f *Retry) race(ctx context.Context, x *filter.Exchange, next filter.Handler, delay time.Duration, delayAfterDispatch func(*filter.Grant) time.Duration, allowHedge func() bool) filter.Outcome {
+// allowHedge returns true. The hedge is sent after delay, or after the first of the times
+// from dispatch that delaysAfterDispatch returns at which it is allowed. The first
+// complete response that is not an error wins and the other copy is cancelled. x.Tried gets
+// the servers of both copies, since both count as attempts.
+func (f *Retry) race(ctx context.Context, x *filter.Exchange, next filter.Handler, delay time.Duration, delaysAfterDispatch func(*filter.Grant) hedgeDelays, allowHedge func() bool) filter.Outcome {
 	// Cancels the copies that still run at the end; runCopy cancels those that have ended.
 	unfinished := map[*filter.Exchange]context.CancelFunc{}
 	defer func() {
@@ -129,12 +172,12 @@
 		go runCopy(copyCtx, cancel, c, next, results)
 	}
 	var firstServer, secondServer atomic.Pointer[string] // set when the copy is dispatched
-	dispatched := make(chan time.Duration, 1)
+	dispatched := make(chan hedgeDelays, 1)
 	x.Tried = slices.Clip(x.Tried) // the copies append to it while this goroutine does
 	first := *x
 	first.BeforeDispatch = func() error {
 		firstServer.Store(&first.Grant.Server.Name)
-		if d := delayAfterDispatch(first.Grant); d > 0 {
+		if d := delaysAfterDispatch(first.Grant); d.next(0) > 0 {
 			dispatched <- d
 		}
 		if x.BeforeDispatch != nil {
@@ -146,6 +189,8 @@
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	running := 1
+	var delays hedgeDelays
+	var waited time.Duration // since dispatch
 	var last, earlier copyResult
 	defer func() {
 		for _, server := range [...]*string{firstServer.Load(), secondServer.Load()} {
@@ -171,15 +216,20 @@
 			if last.out.Verdict == verdict.Ran && last.out.Reason != verdict.ReasonBackendError {
 				return last.out
 			}
-		case d := <-dispatched:
-			timer.Reset(d)
+		case delays = <-dispatched:
+			waited = delays.next(0)
+			timer.Reset(waited)
 		case <-timer.C:
 			server := firstServer.Load()
 			if server == nil || !allowHedge() {
+				if later := delays.next(waited); later > 0 {
+					timer.Reset(later - waited)
+					waited = later
+				}
 				continue
 			}
 			second := *x
-			second.Grant, second.IsHedge = nil, true
+			second.Grant, second.IsHedge, second.MayMissObjective = nil, true, delays.silent > 0 && waited >= delays.silent
 			second.Tried = append(append([]string(nil), x.Tried...), *server)
 			second.BeforeDispatch = func() error {
 				secondServer.Store(&second.Grant.Server.Name)
--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -162,9 +162,13 @@
 		timeLeft = min(timeLeft, x.HostEnds.Sub(now)/stopTimeFactor)
 	}
 	urgency := p.urgency.get(x.Service.Name).observe(x.Route.Priority)
+	objectiveLeft := max(objective-now.Sub(x.Arrived), objective/4)
+	if x.MayMissObjective {
+		objectiveLeft = timeLeft
+	}
 	return placement.Requirements{
 		Work:         work,
-		Objective:    max(objective-now.Sub(x.Arrived), objective/4),
+		Objective:    objectiveLeft,
 		PenaltyScale: scale, TotalObjective: objective, TimeLeft: timeLeft, Urgency: urgency, SpareCapacityOnly: x.IsHedge,
 	}
 }
