--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -85,6 +85,7 @@
 	adapter  Adapter
 	clock    clock.Clock
 	counters *metrics.Counters
+	accounts *metrics.Accounts
 	store    *state.Store
 
 	transport     *backend.Transport
@@ -115,6 +116,7 @@
 		stopping: filters.NewStopping(), controllerFailed: make(chan struct{}),
 	}
 	h.counters.PublishProcess()
+	h.accounts = metrics.NewAccounts(h.counters)
 	h.latencies = latencies.New(h.counters)
 	h.store = state.NewStore(state.Member{Name: s.Name, Address: s.Peer, DataCentre: s.DataCentre, Alive: true})
 	h.store.Tick(h.clock.Now())
--- a/internal/feedhost/observe.go
+++ b/internal/feedhost/observe.go
@@ -16,6 +16,9 @@
 // histograms.
 func (h *Host) observe(x *filter.Exchange, out *filter.Outcome) {
 	h.counters.Verdict(out.Verdict)
+	if x.Accounts {
+		h.countAccount(x, out)
+	}
 	took := h.clock.Now().Sub(x.Arrived)
 	served := out.Response != nil && out.Response.Status < 500
 	if served && out.Verdict == verdict.Ran && x.Service != nil {
@@ -39,6 +42,19 @@
 	}
 }
 
+// countAccount counts a request under a configuration with client accounts.
+func (h *Host) countAccount(x *filter.Exchange, out *filter.Outcome) {
+	name := ""
+	if x.Account != nil {
+		name = x.Account.Label()
+	}
+	if out.Verdict == verdict.NotRun {
+		h.accounts.Refused(name, out.Reason)
+	} else {
+		h.accounts.Admitted(name)
+	}
+}
+
 // logFields returns the inputs that decided a request, with their age or version,
 // and its outcome.
 func (h *Host) logFields(x *filter.Exchange, out *filter.Outcome, took time.Duration) []zap.Field {
