--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -20,6 +20,8 @@
 	Relayed  bool         `cbor:"8,keyasint,omitempty"` // a digest that another host relayed; From is its original sender
 	Hello    bool         `cbor:"9,keyasint,omitempty"` // requests a reply with Peers
 	Crashes  []Crash      `cbor:"10,keyasint,omitempty"`
+	// Accounts counts the sender's requests by client account since its last heartbeat.
+	Accounts []AccountCount `cbor:"20,keyasint,omitempty"`
 }
 
 // Peer is one entry host.
@@ -70,6 +72,12 @@
 	Ratio  uint16 `cbor:"4,keyasint,omitempty"` // mean duration in percent of the expected duration; 0 if none was measured
 }
 
+// AccountCount counts requests of one client account.
+type AccountCount struct {
+	Account  uint32 `cbor:"1,keyasint"` // ServerHash of its name
+	Requests uint16 `cbor:"2,keyasint"`
+}
+
 // Crash reports a request that crashed a backend server.
 type Crash struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
@@ -80,8 +88,8 @@
 	AgeMillis   uint32 `cbor:"6,keyasint,omitempty"` // since the crash
 }
 
-// ServerHash returns the FNV-1a hash that stands for a backend server's name in
-// heartbeats.
+// ServerHash returns the FNV-1a hash that stands for the name of a backend server or a
+// client account in heartbeats.
 func ServerHash(name string) uint32 {
 	h := uint32(2166136261)
 	for i := range len(name) {
