Order requests among client accounts when room is short

Cause: placement knew the priority of routes only.

Change: under a configuration with accounts, package precedence gives each request a standing. The log line has urgency and heat. Without accounts the decisions are as before.

--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -22,6 +22,7 @@
 	"github.com/anvilfront/anvilfront/internal/backend"
 	"github.com/anvilfront/anvilfront/internal/callers"
 	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/controller/accountloads"
 	"github.com/anvilfront/anvilfront/internal/controller/crashes"
 	"github.com/anvilfront/anvilfront/internal/controller/feeds"
 	"github.com/anvilfront/anvilfront/internal/controller/latencies"
@@ -93,6 +94,7 @@
 	feeds         *feeds.Controller
 	measures      *measures.Controller
 	crashes       *crashes.Controller
+	accountLoads  *accountloads.Controller
 	latencies     *latencies.Controller
 	placement     *filters.Placement
 	pauseDetector *pause.Detector
@@ -163,7 +165,9 @@
 	h.mesh.AddHandler(h.crashes)
 	h.mesh.AddHandler(h.feeds)
 	h.mesh.AddHandler(h.measures)
-	h.placement = &filters.Placement{Clock: h.clock, Store: h.store, Cold: h.measures, Limited: h.measures, Load: h.measures}
+	h.accountLoads = accountloads.New(accountloads.Config{DataCentre: s.DataCentre, Counters: h.counters})
+	h.mesh.AddHandler(h.accountLoads) // last: it uses the room that the others leave
+	h.placement = &filters.Placement{Clock: h.clock, Store: h.store, Cold: h.measures, Limited: h.measures, Load: h.measures, Loads: h.accountLoads}
 	h.pauseDetector = &pause.Detector{Clock: h.clock, Store: h.store, Resync: h.resync, Suspended: clock.Suspended, Counters: h.counters, Log: h.log.Named("pause")}
 	return h.assembleListeners()
 }
@@ -256,7 +260,7 @@
 		// Selects the route and the service.
 		filters.Route{},
 		// Refuses requests without the key of a client account.
-		filters.Account{},
+		&filters.Account{Loads: h.accountLoads},
 		// Retries the rest of the chain, within the retry budget.
 		&filters.Retry{Clock: h.clock, Counters: h.counters, MaxTokens: func() float64 {
 			return filters.SlackShare(h.settings.RetrySlack, h.mesh.View().Size())
--- a/internal/feedhost/observe.go
+++ b/internal/feedhost/observe.go
@@ -79,6 +79,12 @@
 	}
 	if x.Account != nil {
 		f = append(f, zap.String("account", x.Account.Label()))
+		if x.Standing.Urgency > 0 {
+			f = append(f, zap.Float64("urgency", x.Standing.Urgency))
+		}
+		if x.Heat > 0 {
+			f = append(f, zap.Float64("heat", x.Heat))
+		}
 	}
 	if len(x.Tried) > 0 {
 		f = append(f, zap.Strings("tried", x.Tried))
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -10,6 +10,7 @@
 
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/manifest"
+	"github.com/anvilfront/anvilfront/internal/precedence"
 	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
@@ -88,8 +89,12 @@
 	Service  *manifest.Service
 	// Accounts is set when the configuration has client accounts. Account is then the one
 	// whose key the request has, without its keys, or nil. The route filter sets both.
-	Accounts          bool
-	Account           *manifest.Account
+	Accounts bool
+	Account  *manifest.Account
+	// Standing is that of the newest placement, and Heat the load of the account as a
+	// multiple of its usual load, or 0; set under a configuration with accounts.
+	Standing          precedence.Standing
+	Heat              float64
 	Nested            bool   // the request carries a retry budget header: it is not retried here after dispatch
 	Forwarded         bool   // the request came from another entry host, which is not the owner of its key
 	Key               string // order key as sent by the caller, or ""
--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -5,10 +5,13 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/placement"
+	"github.com/anvilfront/anvilfront/internal/precedence"
 	"github.com/anvilfront/anvilfront/internal/roster"
 	"github.com/anvilfront/anvilfront/internal/state"
 	"github.com/anvilfront/anvilfront/internal/verdict"
@@ -56,12 +59,14 @@
 	Clock   clock.Clock
 	Store   *state.Store
 	Cold    ColdSender
-	Limited LimitedSender   // nil: no server names a rate limit
-	Load    LoadQuerier     // nil: placement uses the readings that it has
-	Rand    *rand.Rand      // set by tests and simulations; nil means the generators of the runtime
-	work    cowMap[average] // median duration of work in ns, by route name
-	speed   cowMap[average] // mean speed, by service name
-	urgency cowMap[urgency] // by service name
+	Limited LimitedSender            // nil: no server names a rate limit
+	Load    LoadQuerier              // nil: placement uses the readings that it has
+	Loads   AccountLoads             // nil: no account is known to send more than usual
+	Rand    *rand.Rand               // set by tests and simulations; nil means the generators of the runtime
+	work    cowMap[average]          // median duration of work in ns, by route name
+	speed   cowMap[average]          // mean speed, by service name
+	urgency cowMap[urgency]          // by service name
+	order   cowMap[precedence.Order] // by service name; under a configuration with accounts
 }
 
 // Name implements filter.Filter.
@@ -139,6 +144,8 @@
 	switch {
 	case admission == placement.Send:
 		return verdict.ReasonNone
+	case admission == placement.RoomIsForOthers:
+		return verdict.ReasonOtherAccounts
 	case admission == placement.AtCapacity, !o.Found && full:
 		return verdict.ReasonOverload
 	case !o.Found:
@@ -161,7 +168,7 @@
 	if x.HostEnds != 0 {
 		timeLeft = min(timeLeft, x.HostEnds.Sub(now)/stopTimeFactor)
 	}
-	urgency := p.urgency.get(x.Service.Name).observe(x.Route.Priority)
+	standing := p.standing(x)
 	objectiveLeft := max(objective-now.Sub(x.Arrived), objective/4)
 	if x.MayMissObjective {
 		objectiveLeft = timeLeft
@@ -169,8 +176,41 @@
 	return placement.Requirements{
 		Work:         work,
 		Objective:    objectiveLeft,
-		PenaltyScale: scale, TotalObjective: objective, TimeLeft: timeLeft, Urgency: urgency, SpareCapacityOnly: x.IsHedge,
+		PenaltyScale: scale, TotalObjective: objective, TimeLeft: timeLeft, Urgency: standing.Urgency, MostOccupied: standing.MostOccupied,
+		SpareCapacityOnly: x.IsHedge,
+	}
+}
+
+// standing returns how a request stands among the others of its service.
+func (p *Placement) standing(x *filter.Exchange) precedence.Standing {
+	if !x.Accounts {
+		return precedence.Standing{Urgency: p.urgency.get(x.Service.Name).observe(x.Route.Priority)}
+	}
+	// A request without an account, on a public route, stands among accounts as its route
+	// stands among routes.
+	r := precedence.Request{AccountPriority: x.Route.Priority, RoutePriority: x.Route.Priority}
+	if x.Account != nil {
+		r.AccountPriority = x.Account.Priority
+		if p.Loads != nil {
+			r.Heat = p.Loads.Heat(x.Account.Name)
+		}
+	}
+	r.Draw = p.draw(x)
+	x.Standing, x.Heat = p.order.get(x.Service.Name).Judge(r), r.Heat
+	return x.Standing
+}
+
+// draw returns random numbers that are the same for each try of a request with an id.
+func (p *Placement) draw(x *filter.Exchange) precedence.Draw {
+	if x.Request.ID == "" {
+		return precedence.Draw{Exempt: p.random().Float64(), Yield: p.random().Float64()}
 	}
+	var d xxhash.Digest
+	d.Reset()
+	writeLengthPrefixed(&d, x.AccountName())
+	writeLengthPrefixed(&d, x.Request.ID)
+	sum := d.Sum64()
+	return precedence.Draw{Exempt: float64(sum>>32) / (1 << 32), Yield: float64(uint32(sum)) / (1 << 32)}
 }
 
 // choose returns the best warm server, or a cold one that this host may send to
@@ -178,7 +218,7 @@
 // it would refuse the request.
 func (p *Placement) choose(servers []*state.Server, x *filter.Exchange, q queried, requirements placement.Requirements, now clock.Time) (best placement.Choice, full bool) {
 	best, bestCold, full := p.compare(servers, x, q, requirements, now)
-	if c := bestCold.Best; c.Found && !best.BestWithCapacity.Found && (!best.Best.Found || c.CompletionTime < best.Best.CompletionTime) {
+	if c := bestCold.Best; c.Found && requirements.MostOccupied == 0 && !best.BestWithCapacity.Found && (!best.Best.Found || c.CompletionTime < best.Best.CompletionTime) {
 		if servers[c.Index].Load.Cold.Take(now, coldQuota(x.Service), coldQuotaWindow) {
 			return bestCold, full
 		}
@@ -196,6 +236,7 @@
 		}
 		if s.Load.Declined(now) {
 			full = true
+			best.ConsiderFull(s.Slots)
 			continue
 		}
 		e := s.Load.Estimate(now, meanSpeed, s.Slots)
@@ -213,6 +254,7 @@
 				best.Consider(i, c, requirements, p.random())
 			} else {
 				full = true
+				best.ConsiderFull(s.Slots)
 			}
 			continue
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,6 +51,7 @@
 	TimeLeft          time.Duration // time left until the deadline
 	SpareCapacityOnly bool          // use only a server with capacity, and only if in time: the request already runs elsewhere
 	Urgency           float64       // 0 to 1; the share of the objective that waiting and work may use up
+	MostOccupied      float64       // refused while a greater share of the slots is occupied: other accounts go first; 0: never
 }
 
 // Candidate is one backend server.
@@ -81,14 +82,17 @@
 
 // Choice holds the best servers found so far. The zero value has none.
 type Choice struct {
-	Best             Option // of all candidates
-	BestWithCapacity Option // of the candidates with capacity
+	Best             Option  // of all candidates
+	BestWithCapacity Option  // of the candidates with capacity
+	occupied, slots  float64 // of all candidates
 }
 
 // Consider compares a candidate with the best ones so far. The lowest score wins:
 // the completion time, corrected by failure rate, penalties and jitter.
 func (c *Choice) Consider(index int, s Candidate, req Requirements, r *rand.Rand) {
 	completion, hasCapacity := CompletionTime(s, req.Work)
+	c.occupied += s.Running + s.Waiting
+	c.slots += float64(max(s.Slots, 1))
 	score := float64(completion) / (1 - min(s.FailureRate, maxFailureRate))
 	if !s.Known || s.Age > maxReadingAge {
 		score += unknownPenalty * float64(req.PenaltyScale)
@@ -117,6 +121,12 @@
 	}
 }
 
+// ConsiderFull records a server that cannot be chosen because it would refuse the request.
+func (c *Choice) ConsiderFull(slots int) {
+	c.occupied += float64(max(slots, 1))
+	c.slots += float64(max(slots, 1))
+}
+
 // CompletionTime returns the expected time until a server has finished a request
 // of the given work, and whether the server has capacity for it.
 func CompletionTime(s Candidate, work time.Duration) (time.Duration, bool) {
@@ -143,6 +153,8 @@
 	TooLate
 	// AtCapacity means that the request would only lengthen the queues.
 	AtCapacity
+	// RoomIsForOthers means that too many slots are occupied for a request that yields.
+	RoomIsForOthers
 )
 
 // Admit decides whether a request is sent, and to which server. A request that
@@ -150,13 +162,16 @@
 // later: it would occupy a slot of a slow server that later requests need when
 // the server is fast again. Without time for a retry it is sent to a server with
 // capacity, but never queued, since it would make other requests miss their
-// objectives.
+// objectives. A request that yields to other accounts is refused while all servers together
+// are too occupied: a single one may look free at some moment, since readings are late.
 func Admit(c Choice, req Requirements) (Option, Admission) {
 	switch {
 	case req.SpareCapacityOnly && (!c.Best.HasCapacity || c.Best.CompletionTime > req.Objective):
 		return c.Best, AtCapacity
 	case !c.Best.Found:
 		return c.Best, TooLate
+	case req.MostOccupied > 0 && c.occupied > req.MostOccupied*c.slots:
+		return c.Best, RoomIsForOthers
 	case c.Best.CompletionTime <= min(time.Duration(req.Urgency*float64(req.Objective)), req.TimeLeft):
 		return c.Best, Send
 	case c.BestWithCapacity.Found && c.BestWithCapacity.CompletionTime <= req.TimeLeft && req.TimeLeft < retryTimeFactor*req.TotalObjective:
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -49,6 +49,7 @@
 	ReasonRequestTimeout
 	ReasonUnauthorized
 	ReasonQuota
+	ReasonOtherAccounts
 	NumReasons // number of reasons; not a reason
 )
 
@@ -102,6 +103,7 @@
 	ReasonRequestTimeout:   {"request_timeout", 408, "the caller took too long to send the request"},
 	ReasonUnauthorized:     {"unauthorized", 401, "the request has no key of a client account"},
 	ReasonQuota:            {"quota", 429, "the client account has used up its quota"},
+	ReasonOtherAccounts:    {"other_accounts", 503, "the service is short of room and other client accounts go first"},
 }
 
 // String returns the name used in headers, counters and logs.
