Hand out the quotas of accounts over all hosts

The rate and burst of a client account were decoded but held by nobody. The owner of an account now holds its token bucket, and other hosts ask it for tokens over the mesh's socket while a request waits. The decisions are in internal/quota, state and messages in internal/controller/quotas, the filter quota refuses with 429.

--- a/internal/controller/feeds/peers.go
+++ b/internal/controller/feeds/peers.go
@@ -43,6 +43,9 @@
 // when this replica contains every change of the sender's replica, and fetches
 // the sender's changes otherwise.
 func (c *Controller) Received(now clock.Time, b *wire.Heartbeat) {
+	if b.Partial {
+		return
+	}
 	if v := c.cfg.Roster.View(); b.From.DataCentre == v.Self.DataCentre && (*c.failingHosts.Load())[b.From.Address] != b.Feed.Failing {
 		c.enqueue(func() { c.setFailing(b.From.Address, b.Feed.Failing) })
 	}
--- a/internal/controller/mesh/mesh.go
+++ b/internal/controller/mesh/mesh.go
@@ -358,6 +358,19 @@
 	}
 }
 
+// SendTo sends one datagram that carries only what b holds. It may be called by any
+// goroutine. Like every datagram it may be lost.
+func (c *Controller) SendTo(address string, b *wire.Heartbeat) {
+	v := c.view.Load()
+	b.Partial, b.From = true, toWire(v.Self, c.cfg.Clock.Now())
+	raw, err := wire.EncodeHeartbeat(b)
+	if err != nil {
+		c.log.Error("Datagram cannot be encoded; it is not sent.", zap.Error(err))
+		return
+	}
+	c.write(roster.Host{Address: address, DataCentre: v.DataCentreOf(address)}, raw)
+}
+
 func (c *Controller) encode(now clock.Time, b *wire.Heartbeat) ([]byte, bool) {
 	b.From = toWire(c.roster.Self(), now)
 	raw, err := wire.EncodeHeartbeat(b)
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -28,6 +28,7 @@
 	"github.com/anvilfront/anvilfront/internal/controller/measures"
 	"github.com/anvilfront/anvilfront/internal/controller/mesh"
 	"github.com/anvilfront/anvilfront/internal/controller/pause"
+	"github.com/anvilfront/anvilfront/internal/controller/quotas"
 	"github.com/anvilfront/anvilfront/internal/feed"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/filters"
@@ -93,6 +94,7 @@
 	measures      *measures.Controller
 	crashes       *crashes.Controller
 	latencies     *latencies.Controller
+	quotas        *quotas.Controller
 	placement     *filters.Placement
 	pauseDetector *pause.Detector
 	peerClient    *peer.Client
@@ -158,6 +160,8 @@
 		Clock: h.clock, Store: h.store, Self: poison.Origin(self.Address, uint64(self.Incarnation)), RefusesConnections: h.transport.RefusesConnections,
 		Flush: h.mesh.Flush, Counters: h.counters, Log: h.log,
 	})
+	h.quotas = quotas.New(quotas.Config{Clock: h.clock, Store: h.store, Mesh: h.mesh, Rand: newRand(), Counters: h.counters, Log: h.log})
+	h.mesh.AddHandler(h.quotas)
 	h.mesh.AddHandler(h.crashes)
 	h.mesh.AddHandler(h.feeds)
 	h.mesh.AddHandler(h.measures)
@@ -255,6 +259,8 @@
 		filters.Route{},
 		// Refuses requests without the key of a client account.
 		filters.Account{},
+		// Refuses requests of an account that is over its quota.
+		&filters.Quota{Quotas: h.quotas},
 		// Retries the rest of the chain, within the retry budget.
 		&filters.Retry{Clock: h.clock, Counters: h.counters, MaxTokens: func() float64 {
 			return filters.SlackShare(h.settings.RetrySlack, h.mesh.View().Size())
@@ -289,7 +295,7 @@
 	var wg conc.WaitGroup
 	wg.Go(h.peerServer.Serve)
 	for _, run := range []func(context.Context){
-		h.mesh.Run, h.feeds.Run, h.measures.Run, h.crashes.Run, h.latencies.Run, h.transport.Run, h.pauseDetector.Run, h.callers.Serve,
+		h.mesh.Run, h.feeds.Run, h.measures.Run, h.crashes.Run, h.quotas.Run, h.latencies.Run, h.transport.Run, h.pauseDetector.Run, h.callers.Serve,
 	} {
 		wg.Go(func() { h.stopOnPanic(runCtx, run) })
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -51,10 +51,15 @@
 type Roster struct {
 	self  Host
 	hosts map[string]*Host // by address, without self
+	// forgotten holds when the hosts that Expire removed were last heard of. They may be
+	// alive where this host cannot reach them.
+	forgotten map[string]clock.Time
 }
 
 // New returns a roster that contains only self.
-func New(self Host) *Roster { return &Roster{self: self, hosts: map[string]*Host{}} }
+func New(self Host) *Roster {
+	return &Roster{self: self, hosts: map[string]*Host{}, forgotten: map[string]clock.Time{}}
+}
 
 // Leave marks this host as leaving.
 func (r *Roster) Leave() { r.self.Leaving = true }
@@ -75,6 +80,7 @@
 		}
 		old = &Host{Address: h.Address}
 		r.hosts[h.Address] = old
+		delete(r.forgotten, h.Address)
 	}
 	isNew = old.Incarnation != h.Incarnation
 	*old = h
@@ -92,6 +98,7 @@
 	switch {
 	case old == nil && len(r.hosts) < maxHosts:
 		r.hosts[h.Address] = &h
+		delete(r.forgotten, h.Address)
 	case old != nil && old.Received.Before(h.Received):
 		*old = h
 	}
@@ -111,6 +118,14 @@
 	for address, h := range r.hosts {
 		if now.Sub(h.Received) > hostRetention {
 			delete(r.hosts, address)
+			if !h.Leaving && len(r.forgotten) < maxHosts {
+				r.forgotten[address] = h.Received
+			}
+		}
+	}
+	for address, received := range r.forgotten {
+		if now.Sub(received) > fleetRetention {
+			delete(r.forgotten, address)
 		}
 	}
 }
@@ -123,13 +138,14 @@
 	Local       []Host            // alive hosts of the local data centre, without self, in order of address
 	Remote      map[string][]Host // alive hosts of each other data centre, in order of address
 	NotAlive    []Host            // known hosts that do not count as alive
+	Forgotten   int               // hosts not heard of for longer, which may be alive out of reach
 	eligible    []string          // addresses of local hosts that may own tasks, including self
 	shardOwners []string          // those of them that share the sharded tasks
 }
 
 // View returns a snapshot of the roster at now.
 func (r *Roster) View(now clock.Time) *View {
-	v := &View{Self: r.self, Remote: map[string][]Host{}}
+	v := &View{Self: r.self, Remote: map[string][]Host{}, Forgotten: len(r.forgotten)}
 	if !r.self.Leaving {
 		v.eligible = append(v.eligible, r.self.Address)
 	}
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -20,6 +20,33 @@
 	Relayed  bool         `cbor:"8,keyasint,omitempty"` // a digest that another host relayed; From is its original sender
 	Hello    bool         `cbor:"9,keyasint,omitempty"` // requests a reply with Peers
 	Crashes  []Crash      `cbor:"10,keyasint,omitempty"`
+	// Partial is set in a datagram that carries nothing of the sender's state but From.
+	Partial bool `cbor:"16,keyasint,omitempty"`
+	// UptimeMillis is the age of the sender's process, while it has accounts with a quota.
+	UptimeMillis uint32       `cbor:"17,keyasint,omitempty"`
+	QuotaAsks    []QuotaAsk   `cbor:"18,keyasint,omitempty"`
+	QuotaGrants  []QuotaGrant `cbor:"19,keyasint,omitempty"`
+}
+
+// QuotaAsk asks the owner of a client account for tokens of its quota.
+type QuotaAsk struct {
+	ID       uint32 `cbor:"1,keyasint"`
+	Account  uint64 `cbor:"2,keyasint"`           // hash of its name
+	Waiting  uint16 `cbor:"3,keyasint,omitempty"` // requests that wait for a token
+	Ahead    uint16 `cbor:"4,keyasint,omitempty"` // tokens for requests that are expected soon
+	Seen     uint16 `cbor:"5,keyasint,omitempty"` // requests since the sender's last ask
+	Returned uint16 `cbor:"6,keyasint,omitempty"` // tokens that were not spent
+	ReplyTo  string `cbor:"7,keyasint,omitempty"` // IP:port of the asking host, if From forwards the ask
+	Hops     uint8  `cbor:"8,keyasint,omitempty"` // times that it was forwarded
+}
+
+// QuotaGrant answers the QuotaAsk with the same ID.
+type QuotaGrant struct {
+	ID          uint32 `cbor:"1,keyasint"`
+	Granted     uint16 `cbor:"2,keyasint,omitempty"`
+	HoldMillis  uint16 `cbor:"3,keyasint,omitempty"` // no further asks for this time
+	RetryMillis uint32 `cbor:"4,keyasint,omitempty"` // when refused callers find room
+	Excess      uint16 `cbor:"5,keyasint,omitempty"` // demand in percent of the usual demand
 }
 
 // Peer is one entry host.
