Hold the bound of quotas across cuts of the network and restarts

A group of hosts that is cut off hands out its part of the rate. Older processes now tell younger ones the size of the fleet, seeds that were never heard of count as missing, and hosts added around a cut do not raise a group's part.

--- a/internal/controller/mesh/mesh.go
+++ b/internal/controller/mesh/mesh.go
@@ -115,6 +115,9 @@
 // SetSeeds replaces the addresses of the hosts to contact first.
 func (c *Controller) SetSeeds(addresses []string) { c.seeds.Store(&addresses) }
 
+// Seeds returns the addresses of the hosts to contact first.
+func (c *Controller) Seeds() []string { return *c.seeds.Load() }
+
 // Flush sends the next heartbeat now, because there are new readings.
 func (c *Controller) Flush() {
 	c.flush.Store(true)
--- a/internal/controller/quotas/messages.go
+++ b/internal/controller/quotas/messages.go
@@ -35,6 +35,7 @@
 func (c *Controller) AddToHeartbeat(now clock.Time, b *wire.Heartbeat) {
 	if len(*c.accounts.Load()) > 0 {
 		b.UptimeMillis = uint32(min(now.Sub(c.started), maxUptime)/time.Millisecond) + 1
+		b.FleetSize = small(int(c.fleetSize.Load()))
 	}
 }
 
@@ -43,12 +44,12 @@
 
 // Received implements mesh.HeartbeatHandler.
 func (c *Controller) Received(now clock.Time, b *wire.Heartbeat) {
-	if up := time.Duration(b.UptimeMillis) * time.Millisecond; up > now.Sub(c.started)+informedMargin {
-		c.inform()
-	}
 	if len(*c.accounts.Load()) == 0 || b.Relayed {
 		return
 	}
+	if up := time.Duration(b.UptimeMillis) * time.Millisecond; up > now.Sub(c.started)+informedMargin {
+		c.hearSize(int64(b.FleetSize))
+	}
 	for i := range b.QuotaAsks {
 		a, from := b.QuotaAsks[i], b.From.Address
 		c.enqueue(func(now clock.Time) {
@@ -69,11 +70,13 @@
 	}
 }
 
-// inform tells the node once that an older process has answered.
-func (c *Controller) inform() {
-	if c.heardOlder.CompareAndSwap(false, true) {
-		if !c.enqueue(func(clock.Time) { c.node.Informed() }) {
-			c.heardOlder.Store(false)
+// hearSize keeps the largest size of the fleet that older processes reported since the
+// last update.
+func (c *Controller) hearSize(size int64) {
+	for {
+		old := c.olderSize.Load()
+		if size <= old || c.olderSize.CompareAndSwap(old, size) {
+			return
 		}
 	}
 }
--- a/internal/controller/quotas/observe.go
+++ b/internal/controller/quotas/observe.go
@@ -58,6 +58,7 @@
 		c.counted[i].Add(v - c.last[i])
 	}
 	c.last = counts
+	c.fleetSize.Store(int64(c.node.FleetSize(now)))
 	share := c.node.Share(now)
 	if takeovers+losses+pauses > 0 || math.Abs(share-c.share) > shareStep || (share == 1) != (c.share == 1) {
 		c.share = share
--- a/internal/controller/quotas/quotas.go
+++ b/internal/controller/quotas/quotas.go
@@ -38,6 +38,7 @@
 // Mesh sends datagrams and knows the other hosts.
 type Mesh interface {
 	View() *roster.View
+	Seeds() []string
 	SendTo(address string, b *wire.Heartbeat)
 }
 
@@ -68,7 +69,8 @@
 	last     quota.Counts
 	share    float64 // of the quotas that this host hands out, as logged last
 
-	heardOlder                         atomic.Bool
+	fleetSize                          atomic.Int64 // for heartbeats
+	olderSize                          atomic.Int64 // of the fleet, as older processes reported it since the last update
 	admitted, refused, silent, dropped *expvar.Int
 	counted                            [quota.NumCounts]*expvar.Int
 }
@@ -154,7 +156,10 @@
 	if v := c.cfg.Mesh.View(); v != c.view {
 		changed := c.view == nil || !v.SameFleetOwners(c.view)
 		c.view = v
-		c.node.SetFleet(now, fleet{view: v, now: now}, changed)
+		if size := c.olderSize.Swap(0); size > 0 {
+			c.node.Informed(now, int(size))
+		}
+		c.node.SetFleet(now, fleet{view: v, seeds: c.otherSeeds(v), now: now}, changed)
 		c.report(now)
 	}
 }
@@ -183,12 +188,25 @@
 
 // fleet is the view of the hosts for the decisions.
 type fleet struct {
-	view *roster.View
-	now  clock.Time // at which the view was taken
+	view  *roster.View
+	seeds []string   // without this host
+	now   clock.Time // at which the view was taken
+}
+
+func (c *Controller) otherSeeds(v *roster.View) (others []string) {
+	for _, s := range c.cfg.Mesh.Seeds() {
+		if s != v.Self.Address {
+			others = append(others, s)
+		}
+	}
+	return others
 }
 
 // Owner implements quota.Fleet.
 func (f fleet) Owner(k quota.Key, avoid string) string { return f.view.FleetOwner(k, avoid) }
 
 // Size implements quota.Fleet.
-func (f fleet) Size() (reachable, known int) { return f.view.FleetSize(f.now) }
+func (f fleet) Size() quota.Size {
+	reachable, known := f.view.FleetSize(f.now)
+	return quota.Size{Known: known, Reachable: reachable, Seeds: len(f.seeds), Unheard: f.view.NeverHeard(f.seeds)}
+}
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -19,14 +19,16 @@
 // Node decides for one host: it asks for tokens, and grants them for the accounts that it
 // owns. It is not safe for concurrent use; only the Accounts are.
 type Node struct {
-	cfg      Config
-	fleet    Fleet
-	accounts map[Key]*accountState
-	pending  map[uint32]*accountState // by ID of the ask that is not answered yet
-	nextID   uint32
-	lastRun  clock.Time
-	informed bool // an older process has answered
-	counts   Counts
+	cfg       Config
+	fleet     Fleet
+	accounts  map[Key]*accountState
+	pending   map[uint32]*accountState // by ID of the ask that is not answered yet
+	nextID    uint32
+	lastRun   clock.Time
+	fleetSize Size
+	older     heard // from older processes
+	cut       cut
+	counts    Counts
 }
 
 // accountState is what a Node keeps of one account: some 300 bytes, whatever the number
@@ -55,7 +57,7 @@
 func NewNode(cfg Config) *Node {
 	return &Node{
 		cfg: cfg, accounts: map[Key]*accountState{}, pending: map[uint32]*accountState{},
-		nextID: cfg.Rand.Uint32(), lastRun: cfg.Start,
+		nextID: cfg.Rand.Uint32(), lastRun: cfg.Start, fleetSize: Size{Known: 1, Reachable: 1},
 	}
 }
 
@@ -70,7 +72,7 @@
 		if s == nil {
 			s = &accountState{shared: &Account{Key: k}, since: now}
 			n.accounts[k] = s
-			s.owned = n.fleet != nil && n.fleet.Owner(k, "") == n.cfg.Self
+			s.owned = n.owner(s, "") == n.cfg.Self
 		}
 		if s.bucket != nil {
 			s.bucket.refill(now, s.limit, n.Share(now))
@@ -94,7 +96,7 @@
 // own accounts now.
 func (n *Node) SetFleet(now clock.Time, f Fleet, changed bool) {
 	n.run(now)
-	n.fleet = f
+	n.fleet, n.fleetSize = f, f.Size()
 	if !changed {
 		return
 	}
@@ -112,9 +114,6 @@
 	}
 }
 
-// Informed records that a process that is older than this one has answered.
-func (n *Node) Informed() { n.informed = true }
-
 // run detects pauses. A node that was paused may have been replaced as owner, and starts
 // with empty buckets.
 func (n *Node) run(now clock.Time) {
@@ -127,24 +126,6 @@
 	n.lastRun = max(n.lastRun, now)
 }
 
-// size returns the hosts that this one reaches, and those that exist as far as is known.
-func (n *Node) size(now clock.Time) (reachable, known int) {
-	reachable, known = 1, 1
-	if n.fleet != nil {
-		reachable, known = n.fleet.Size()
-	}
-	if !n.informed && now.Sub(n.cfg.Start) < learnTime {
-		known = max(known, assumedHosts)
-	}
-	return reachable, known
-}
-
-// Share returns the part of the quotas that the owners among the hosts in reach hand out.
-func (n *Node) Share(now clock.Time) float64 {
-	reachable, known := n.size(now)
-	return min(1, partHeadroom*float64(reachable)/float64(known))
-}
-
 // Request decides on a request for which Account.Try returned Wait.
 func (n *Node) Request(now clock.Time, k Key, w Waiter) {
 	n.run(now)
@@ -207,15 +188,23 @@
 	n.sendAsk(now, s)
 }
 
+// owner returns the owner of an account in this host's view, or "".
+func (n *Node) owner(s *accountState, avoid string) string {
+	if n.fleet == nil {
+		return ""
+	}
+	return n.fleet.Owner(s.shared.Key, avoid)
+}
+
 // sendAsk sends the pending ask to the owner, or answers it if that is this host.
 func (n *Node) sendAsk(now clock.Time, s *accountState) {
 	avoid := s.avoid
 	if now >= s.avoidUntil {
 		avoid = ""
 	}
-	owner := ""
-	if n.fleet != nil {
-		owner = n.fleet.Owner(s.shared.Key, avoid)
+	owner := n.owner(s, avoid)
+	if owner == n.cfg.Self && !s.owned {
+		owner = n.owner(s, "") // the next in rank does not own the account while the owner is alive
 	}
 	s.askedHost = owner
 	switch owner {
@@ -234,19 +223,19 @@
 func (n *Node) ReceiveAsk(now clock.Time, from string, a Ask) {
 	n.run(now)
 	s := n.accounts[a.Account]
-	if s == nil || n.fleet == nil {
+	if s == nil {
 		return
 	}
 	if a.ReplyTo == "" {
 		a.ReplyTo = from
 	}
-	owner := n.fleet.Owner(a.Account, "")
-	if owner == n.cfg.Self {
+	if s.owned {
 		g := n.grant(now, s, &a, a.ReplyTo)
 		n.cfg.Send(a.ReplyTo, Message{Grant: &g})
 		return
 	}
-	if a.Hops++; owner != "" && owner != a.ReplyTo && a.Hops <= maxHops {
+	owner := n.owner(s, "")
+	if a.Hops++; owner != "" && owner != n.cfg.Self && owner != a.ReplyTo && a.Hops <= maxHops {
 		n.counts[Forwarded]++
 		n.cfg.Send(owner, Message{Ask: &a})
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -57,6 +57,15 @@
 	// know how large the fleet is. It then assumes assumedHosts, the largest fleet.
 	learnTime    = time.Second
 	assumedHosts = 320
+	// inheritTime is how long a process believes what an older one said of the size of the
+	// fleet. Processes say so several times a second.
+	inheritTime = 2 * time.Second
+	// seedRule is how long a process that no older one has answered estimates the fleet by
+	// the seeds that it has never heard of. The seeds are renewed by the platform; later
+	// they count as gone.
+	seedRule = time.Hour
+	// unreachedSeeds stands for the seeds in reach of a process that reaches none.
+	unreachedSeeds = 0.2
 	// pauseGap is the time without a call after which a node was paused and has lost what
 	// it owned. It is shorter than the time after which others replace a silent owner.
 	pauseGap = 500 * time.Millisecond
@@ -116,9 +125,15 @@
 	// Owner returns the address of the host that owns the account, or "" if there is none.
 	// It passes over another host with the address avoid.
 	Owner(k Key, avoid string) string
-	// Size returns how many hosts, this one included, are known, and how many of them this
-	// host and those that it reaches can reach.
-	Size() (reachable, known int)
+	Size() Size
+}
+
+// Size is what a host knows of the size of the fleet.
+type Size struct {
+	Known     int // hosts that were heard of and have not announced their stop, this one included
+	Reachable int // those of them that this host and its group reach
+	Seeds     int // hosts that the settings name, without this one
+	Unheard   int // seeds that this process has never heard of
 }
 
 // Token is the right to send one request of an account.
--- a/internal/roster/fleet.go
+++ b/internal/roster/fleet.go
@@ -89,7 +89,7 @@
 // other data centres that have been heard of lately while the data centre is in reach.
 // Hosts that announced their stop do not count.
 func (v *View) FleetSize(now clock.Time) (reachable, known int) {
-	reachable, known = 1, 1+v.Forgotten
+	reachable, known = 1, 1+len(v.Forgotten)
 	for i := range v.Local {
 		if !v.Local[i].Leaving {
 			reachable, known = reachable+1, known+1
@@ -115,7 +115,19 @@
 	return reachable, known
 }
 
-// DataCentreOf returns the data centre of a known host, or "".
+// NeverHeard returns how many of the hosts with these addresses this process has never
+// heard of.
+func (v *View) NeverHeard(addresses []string) (n int) {
+	for _, a := range addresses {
+		silent := func(h Host) bool { return h.Address == a }
+		if v.DataCentreOf(a) == "" && !slices.ContainsFunc(v.NotAlive, silent) && !slices.Contains(v.Forgotten, a) {
+			n++
+		}
+	}
+	return n
+}
+
+// DataCentreOf returns the data centre of an alive host, or "".
 func (v *View) DataCentreOf(address string) string {
 	has := func(h Host) bool { return h.Address == address }
 	if address == v.Self.Address || slices.ContainsFunc(v.Local, has) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,6 +5,7 @@
 package roster
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -138,14 +139,14 @@
 	Local       []Host            // alive hosts of the local data centre, without self, in order of address
 	Remote      map[string][]Host // alive hosts of each other data centre, in order of address
 	NotAlive    []Host            // known hosts that do not count as alive
-	Forgotten   int               // hosts not heard of for longer, which may be alive out of reach
+	Forgotten   []string          // addresses of hosts not heard of for longer, which may be alive out of reach
 	eligible    []string          // addresses of local hosts that may own tasks, including self
 	shardOwners []string          // those of them that share the sharded tasks
 }
 
 // View returns a snapshot of the roster at now.
 func (r *Roster) View(now clock.Time) *View {
-	v := &View{Self: r.self, Remote: map[string][]Host{}, Forgotten: len(r.forgotten)}
+	v := &View{Self: r.self, Remote: map[string][]Host{}, Forgotten: slices.Collect(maps.Keys(r.forgotten))}
 	if !r.self.Leaving {
 		v.eligible = append(v.eligible, r.self.Address)
 	}
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -23,9 +23,12 @@
 	// Partial is set in a datagram that carries nothing of the sender's state but From.
 	Partial bool `cbor:"16,keyasint,omitempty"`
 	// UptimeMillis is the age of the sender's process, while it has accounts with a quota.
-	UptimeMillis uint32       `cbor:"17,keyasint,omitempty"`
-	QuotaAsks    []QuotaAsk   `cbor:"18,keyasint,omitempty"`
-	QuotaGrants  []QuotaGrant `cbor:"19,keyasint,omitempty"`
+	UptimeMillis uint32 `cbor:"17,keyasint,omitempty"`
+	// FleetSize is the number of hosts that exist as far as the sender knows; sent with
+	// UptimeMillis.
+	FleetSize   uint16       `cbor:"20,keyasint,omitempty"`
+	QuotaAsks   []QuotaAsk   `cbor:"18,keyasint,omitempty"`
+	QuotaGrants []QuotaGrant `cbor:"19,keyasint,omitempty"`
 }
 
 // QuotaAsk asks the owner of a client account for tokens of its quota.
