--- a/internal/controller/quotas/messages.go
+++ b/internal/controller/quotas/messages.go
@@ -24,6 +24,9 @@
 			RetryMillis: uint32(ceilMillis(g.RetryAfter)), Excess: small(int(min(g.Excess, 600) * 100)),
 		}}
 	}
+	if h := m.Handover; h != nil {
+		b.QuotaHandovers = []wire.QuotaHandover{{ID: h.ID, Account: uint64(h.Account), Tokens: uint32(h.Tokens)}}
+	}
 	c.cfg.Mesh.SendTo(to, b)
 }
 
@@ -68,6 +71,16 @@
 			})
 		})
 	}
+	for i := range b.QuotaHandovers {
+		c.handedOver(b.QuotaHandovers[i])
+	}
+}
+
+// handedOver takes over the tokens of a former owner.
+func (c *Controller) handedOver(h wire.QuotaHandover) {
+	c.enqueue(func(now clock.Time) {
+		c.node.ReceiveHandover(now, quota.Handover{ID: h.ID, Account: quota.Key(h.Account), Tokens: int(min(h.Tokens, math.MaxInt32))})
+	})
 }
 
 // hearSize keeps the largest size of the fleet that older processes reported since the
--- a/internal/quota/counts.go
+++ b/internal/quota/counts.go
@@ -17,11 +17,12 @@
 	Takeovers        // accounts whose ownership began
 	Losses           // accounts whose ownership ended
 	Pauses           // times that this process did not run, and lost what it owned
+	Handovers        // buckets passed on to the next owner
 	NumCounts
 )
 
 // CountNames are the names of Counts in metrics.
 var CountNames = [NumCounts]string{
 	"asks", "ask_repeats", "asks_forwarded", "grants", "tokens_granted", "grants_short", "asks_unanswered",
-	"fallback_tokens", "tokens_returned", "takeovers", "ownership_lost", "pauses",
+	"fallback_tokens", "tokens_returned", "takeovers", "ownership_lost", "pauses", "handovers",
 }
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -48,9 +48,11 @@
 	avoidUntil clock.Time
 	fallback   fallback
 
-	owned  bool
-	since  clock.Time // start of the ownership
-	bucket *bucket    // nil until the first ask
+	owned      bool
+	since      clock.Time // start of the ownership
+	bucket     *bucket    // nil until the first ask
+	handover   handover
+	handedOver bool // the former owner's tokens are in the bucket, or do not count
 }
 
 // NewNode returns a Node without accounts.
@@ -105,12 +107,15 @@
 		if owned == s.owned {
 			continue
 		}
-		s.owned, s.since, s.bucket = owned, now, nil
 		if owned {
 			n.counts[Takeovers]++
-		} else {
-			n.counts[Losses]++
+			s.owned, s.since, s.bucket, s.handedOver = true, now, nil, false
+			n.takeHandover(now, s)
+			continue
 		}
+		n.counts[Losses]++
+		n.handOver(now, s)
+		s.owned, s.bucket = false, nil
 	}
 }
 
@@ -120,7 +125,7 @@
 	if now.Sub(n.lastRun) > pauseGap {
 		n.counts[Pauses]++
 		for _, s := range n.accounts {
-			s.since, s.bucket = now, nil
+			s.since, s.bucket, s.handedOver = now, nil, true
 		}
 	}
 	n.lastRun = max(n.lastRun, now)
@@ -175,11 +180,8 @@
 	n.counts[Returns] += int64(expired)
 	ahead := int(s.demand.value(now, demandTime) * aheadTime.Seconds())
 	s.shared.target.Store(int64(ahead))
-	if n.nextID++; n.nextID == 0 {
-		n.nextID++
-	}
 	a := Ask{
-		ID: n.nextID, Account: s.shared.Key, Waiting: len(s.waiting), Ahead: ahead,
+		ID: n.newID(), Account: s.shared.Key, Waiting: len(s.waiting), Ahead: ahead,
 		Seen: int(min(seen, math.MaxUint16)), Returned: min(s.returned+expired, math.MaxUint16),
 	}
 	s.returned, s.repeated = 0, false
@@ -188,6 +190,14 @@
 	n.sendAsk(now, s)
 }
 
+// newID returns an ID that is not 0.
+func (n *Node) newID() uint32 {
+	if n.nextID++; n.nextID == 0 {
+		n.nextID++
+	}
+	return n.nextID
+}
+
 // owner returns the owner of an account in this host's view, or "".
 func (n *Node) owner(s *accountState, avoid string) string {
 	if n.fleet == nil {
@@ -230,8 +240,11 @@
 		a.ReplyTo = from
 	}
 	if s.owned {
-		g := n.grant(now, s, &a, a.ReplyTo)
-		n.cfg.Send(a.ReplyTo, Message{Grant: &g})
+		// A process that knows no other one yet lets the host ask elsewhere, rather than
+		// refuse: it may have the address of a former owner.
+		if g := n.grant(now, s, &a, a.ReplyTo); g.Hold == 0 || !n.unaware(now) {
+			n.cfg.Send(a.ReplyTo, Message{Grant: &g})
+		}
 		return
 	}
 	owner := n.owner(s, "")
@@ -322,7 +335,8 @@
 		case age >= giveUpAfter:
 			n.giveUp(now, s)
 		case age >= repeatAfter && !s.repeated:
-			s.repeated = true
+			// Another host passes the ask on if the owner is alive, and knows sooner if not.
+			s.avoid, s.avoidUntil, s.repeated = s.askedHost, now.Add(avoidTime), true
 			s.ask.Seen, s.ask.Returned = 0, 0
 			n.counts[Repeats]++
 			n.sendAsk(now, s)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -114,10 +114,18 @@
 	Excess float64
 }
 
-// Message is an Ask or a Grant.
+// Handover passes the tokens of a bucket on to the next owner of the account.
+type Handover struct {
+	ID      uint32 // chosen by the former owner
+	Account Key
+	Tokens  int
+}
+
+// Message is one of its fields.
 type Message struct {
-	Ask   *Ask
-	Grant *Grant
+	Ask      *Ask
+	Grant    *Grant
+	Handover *Handover
 }
 
 // Fleet is what a host knows of the other hosts. Views of different hosts differ.
--- a/internal/quota/size.go
+++ b/internal/quota/size.go
@@ -36,6 +36,11 @@
 // passed round in a circle.
 func (n *Node) Informed(now clock.Time, size int) { n.older.add(now, size) }
 
+// unaware reports whether this process is too young to know the size of the fleet.
+func (n *Node) unaware(now clock.Time) bool {
+	return !n.older.any && now.Sub(n.cfg.Start) < learnTime
+}
+
 // FleetSize returns the number of hosts that exist as far as this host knows.
 func (n *Node) FleetSize(now clock.Time) int {
 	_, known := n.size(now)
@@ -55,7 +60,7 @@
 		part := max(float64(s.Seeds-s.Unheard), unreachedSeeds) / float64(s.Seeds)
 		known = max(known, int(math.Ceil(float64(s.Reachable)/part)))
 	}
-	if !n.older.any && age < learnTime {
+	if n.unaware(now) {
 		known = max(known, assumedHosts)
 	}
 	return s.Reachable, n.cut.size(now, s.Reachable, known)
--- a/internal/roster/fleet.go
+++ b/internal/roster/fleet.go
@@ -14,6 +14,11 @@
 // samples in digests, so that it takes seconds until each was named.
 const remoteFreshness = 15 * time.Second
 
+// remoteReach is how old the newest information about any host of another data centre may
+// be while that data centre counts as in reach. Digests come every 0.2 s. A host that is
+// cut off alone thus knows it as soon as others replace it as the owner of tasks.
+const remoteReach = time.Second
+
 // fleetRetention is how long a host that is not alive counts as part of the fleet. A group
 // of hosts that is cut off must not take itself for the whole fleet while the cut lasts.
 const fleetRetention = time.Hour
@@ -95,10 +100,15 @@
 			reachable, known = reachable+1, known+1
 		}
 	}
-	for _, hosts := range v.Remote {
+	inReach := map[string]bool{}
+	for dc, hosts := range v.Remote {
+		inReach[dc] = slices.ContainsFunc(hosts, func(h Host) bool { return now.Sub(h.Received) <= remoteReach })
 		for i := range hosts {
-			if !hosts[i].Leaving {
-				reachable, known = reachable+1, known+1
+			if hosts[i].Leaving {
+				continue
+			}
+			if known++; inReach[dc] {
+				reachable++
 			}
 		}
 	}
@@ -107,8 +117,7 @@
 		if h.Leaving {
 			continue
 		}
-		known++
-		if _, inReach := v.Remote[h.DataCentre]; inReach && now.Sub(h.Received) <= remoteFreshness {
+		if known++; inReach[h.DataCentre] && now.Sub(h.Received) <= remoteFreshness {
 			reachable++
 		}
 	}
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -29,6 +29,8 @@
 	FleetSize   uint16       `cbor:"20,keyasint,omitempty"`
 	QuotaAsks   []QuotaAsk   `cbor:"18,keyasint,omitempty"`
 	QuotaGrants []QuotaGrant `cbor:"19,keyasint,omitempty"`
+	// QuotaHandovers pass tokens on from a former owner of accounts to the next one.
+	QuotaHandovers []QuotaHandover `cbor:"21,keyasint,omitempty"`
 }
 
 // QuotaAsk asks the owner of a client account for tokens of its quota.
@@ -43,6 +45,13 @@
 	Hops     uint8  `cbor:"8,keyasint,omitempty"` // times that it was forwarded
 }
 
+// QuotaHandover passes the tokens of an account on to its next owner.
+type QuotaHandover struct {
+	ID      uint32 `cbor:"1,keyasint"`
+	Account uint64 `cbor:"2,keyasint"` // hash of its name
+	Tokens  uint32 `cbor:"3,keyasint"`
+}
+
 // QuotaGrant answers the QuotaAsk with the same ID.
 type QuotaGrant struct {
 	ID          uint32 `cbor:"1,keyasint"`
