--- a/internal/controller/mesh/mesh.go
+++ b/internal/controller/mesh/mesh.go
@@ -361,19 +361,6 @@
 	}
 }
 
-// SendTo sends one datagram that carries only what b holds. It may be called by any
-// goroutine. Like every datagram it may be lost.
-func (c *Controller) SendTo(address string, b *wire.Heartbeat) {
-	v := c.view.Load()
-	b.Partial, b.From = true, toWire(v.Self, c.cfg.Clock.Now())
-	raw, err := wire.EncodeHeartbeat(b)
-	if err != nil {
-		c.log.Error("Datagram cannot be encoded; it is not sent.", zap.Error(err))
-		return
-	}
-	c.write(roster.Host{Address: address, DataCentre: v.DataCentreOf(address)}, raw)
-}
-
 func (c *Controller) encode(now clock.Time, b *wire.Heartbeat) ([]byte, bool) {
 	b.From = toWire(c.roster.Self(), now)
 	raw, err := wire.EncodeHeartbeat(b)
@@ -405,19 +392,3 @@
 		c.remoteBytes.Add(int64(len(raw)))
 	}
 }
-
-func fromWire(p wire.Peer, now clock.Time) roster.Host {
-	return roster.Host{
-		Address: p.Address, DataCentre: p.DataCentre, Incarnation: p.Incarnation, Leaving: p.Leaving,
-		Received: now.Add(-time.Duration(p.AgeMillis) * time.Millisecond),
-	}
-}
-
-func toWire(h roster.Host, now clock.Time) wire.Peer {
-	p := wire.Peer{Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation, Leaving: h.Leaving}
-	if h.Received != 0 {
-		// Rounded up: an age must not shrink while several hosts pass it on.
-		p.AgeMillis = uint32(now.Sub(h.Received)/time.Millisecond) + 1
-	}
-	return p
-}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -24,11 +24,13 @@
 // bucket is the token bucket of an account at its owner. Its size does not depend on the
 // number of hosts.
 type bucket struct {
-	level  float64
-	at     clock.Time // of level
-	since  clock.Time // start of the ownership
-	askers [2]uint64  // bitmaps of hosts that asked in this and the last askerPeriod
-	period clock.Time // start of this askerPeriod
+	level float64
+	at    clock.Time // of level
+	since clock.Time // start of the ownership
+	// carefulUntil is the time until which another host may own the account as well.
+	carefulUntil clock.Time
+	askers       [2]uint64  // bitmaps of hosts that asked in this and the last askerPeriod
+	period       clock.Time // start of this askerPeriod
 	// granted counts the tokens of this and the last TokenLife.
 	granted      [2]float64
 	grantedSince clock.Time
@@ -51,7 +53,7 @@
 func (b *bucket) refill(now clock.Time, l Limit, share float64) {
 	if now > b.at {
 		elapsed := now.Sub(b.at)
-		careful := min(now, b.since.Add(takeoverTime)).Sub(b.at)
+		careful := min(now, b.carefulUntil).Sub(b.at)
 		effective := elapsed - time.Duration(float64(max(careful, 0))*(1-takeoverShare))
 		b.level += l.Rate * headroom * share * effective.Seconds()
 		b.at = now
--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -16,10 +16,7 @@
 // handOver passes the tokens of a bucket on when this host loses the account to another
 // one, as when it stops or a host that ranks before it has started.
 func (n *Node) handOver(now clock.Time, s *accountState) {
-	b := s.bucket
-	if b == nil {
-		b = &bucket{at: s.since, since: s.since}
-	}
+	b := n.bucket(s)
 	b.refill(now, s.limit, n.Share(now))
 	to := n.owner(s, "")
 	if tokens := int(b.level); tokens > 0 && to != "" && to != n.cfg.Self {
@@ -52,9 +49,7 @@
 		return
 	}
 	s.handedOver = true
-	if s.bucket == nil {
-		s.bucket = &bucket{at: s.since, since: s.since}
-	}
-	s.bucket.level += float64(tokens)
-	s.bucket.refill(now, s.limit, n.Share(now))
+	b := n.bucket(s)
+	b.level += float64(tokens)
+	b.refill(now, s.limit, n.Share(now))
 }
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -254,13 +254,20 @@
 	}
 }
 
-// grant takes tokens out of the bucket of an account that this host owns.
-func (n *Node) grant(now clock.Time, s *accountState, a *Ask, from string) Grant {
+// bucket returns the bucket of an account that this host owns.
+func (n *Node) bucket(s *accountState) *bucket {
 	if s.bucket == nil {
-		// Since the start of the ownership nothing has been handed out.
-		s.bucket = &bucket{at: s.since, since: s.since}
+		// Since the start of the ownership nothing has been handed out. A process that has
+		// just started may own accounts only because it has not heard of their owners yet.
+		careful := max(s.since, n.cfg.Start.Add(learnTime)).Add(takeoverTime)
+		s.bucket = &bucket{at: s.since, since: s.since, carefulUntil: careful}
 	}
-	g := s.bucket.grant(now, s.limit, n.Share(now), a, from)
+	return s.bucket
+}
+
+// grant takes tokens out of the bucket of an account that this host owns.
+func (n *Node) grant(now clock.Time, s *accountState, a *Ask, from string) Grant {
+	g := n.bucket(s).grant(now, s.limit, n.Share(now), a, from)
 	n.counts[Grants]++
 	n.counts[Granted] += int64(g.Granted)
 	if g.Granted < a.Waiting {
