Query more servers when the first ones disappoint

Cause: a request queried at most three servers for their load. A query to a full server waited 20 ms, since a new connection waits there for a slot.

Change: up to eight servers, within a tenth of the objective; a query times out after 10 ms.

TestQueryBeforePlacement, TestQueriesEnd.

--- a/internal/controller/measures/query.go
+++ b/internal/controller/measures/query.go
@@ -11,8 +11,9 @@
 
 const (
 	// queryTimeout bounds a query before a request is placed. Servers respond within
-	// milliseconds, also from another data centre of the region.
-	queryTimeout = 20 * time.Millisecond
+	// milliseconds, also from another data centre of the region, unless a new connection
+	// waits there for a slot.
+	queryTimeout = 10 * time.Millisecond
 	// queriesPerServer bounds the queries of all hosts together, per second and server:
 	// half of the probes that servers allow.
 	queriesPerServer = 30
--- a/internal/filters/queryload.go
+++ b/internal/filters/queryload.go
@@ -14,8 +14,12 @@
 	// recentReadingAge is the age up to which a reading is used without a query. The
 	// speed of servers changes several times a second.
 	recentReadingAge = 10 * time.Millisecond
-	// maxQueries bounds the servers that are queried for one request.
-	maxQueries = 3
+	// maxQueries bounds the servers that are queried for one request. When readings are
+	// some 100 ms old and a third of the servers are slow or busy, three of them disappoint
+	// for one request in eight, which was then placed by an old reading.
+	maxQueries = 8
+	// maxQueryTimeShare is the share of the objective that queries for one request may take.
+	maxQueryTimeShare = 0.1
 	// minTimeForQueries is the time that must be left until the deadline.
 	minTimeForQueries = 100 * time.Millisecond
 )
@@ -47,7 +51,8 @@
 	if p.Load == nil || requirements.TimeLeft < minTimeForQueries {
 		return q
 	}
-	for range maxQueries {
+	end := now.Add(time.Duration(maxQueryTimeShare * float64(requirements.TotalObjective)))
+	for n := 0; n < maxQueries && (n == 0 || now.Before(end)); n++ {
 		warm, _, _ := p.compare(servers, x, q, requirements, now)
 		best := &warm.Best
 		if !best.Found || best.Load.Age <= recentReadingAge {
