Prefer servers with an idle connection

Cause: a host sees some three requests a second for some 240 servers and chose among them without regard to its connections: 2.4 new connections a request, and idle ones expired unused.

TestOpenConnectionPreferred fails without the penalty.

--- a/internal/backend/maintain.go
+++ b/internal/backend/maintain.go
@@ -87,6 +87,12 @@
 	return p
 }
 
+// HasIdle reports whether an idle connection to the address is kept.
+func (t *Transport) HasIdle(address string) bool {
+	p := (*t.pools.Load())[address]
+	return p != nil && p.idleCount.Load() > 0
+}
+
 // updatePools publishes a changed copy of the map and closes the idle connections of
 // removed pools.
 func (t *Transport) updatePools(change func(map[string]*pool)) {
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -171,7 +171,7 @@
 	h.mesh.AddHandler(h.measures)
 	h.accountLoads = accountloads.New(accountloads.Config{DataCentre: s.DataCentre, Counters: h.counters})
 	h.mesh.AddHandler(h.accountLoads) // last: it uses the room that the others leave
-	h.placement = &filters.Placement{Clock: h.clock, Store: h.store, Cold: h.measures, Limited: h.measures, Load: h.measures, Loads: h.accountLoads}
+	h.placement = &filters.Placement{Clock: h.clock, Store: h.store, Cold: h.measures, Limited: h.measures, Load: h.measures, Loads: h.accountLoads, Idle: h.transport}
 	h.pauseDetector = &pause.Detector{Clock: h.clock, Store: h.store, Resync: h.resync, Suspended: clock.Suspended, Counters: h.counters, Log: h.log.Named("pause")}
 	return h.assembleListeners()
 }
--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -52,6 +52,9 @@
 // rate limit.
 type LimitedSender interface{ MaySendToLimited(s *state.Server) bool }
 
+// IdleConnections tells to which backend servers this host keeps idle connections.
+type IdleConnections interface{ HasIdle(address string) bool }
+
 // Placement chooses the backend server of an attempt by expected completion time,
 // from load readings, and refuses requests that cannot be served in time. It
 // takes no lock, and its allocations do not grow with the size of the fleet.
@@ -61,6 +64,7 @@
 	Cold    ColdSender
 	Limited LimitedSender            // nil: no server names a rate limit
 	Load    LoadQuerier              // nil: placement uses the readings that it has
+	Idle    IdleConnections          // nil: placement does not prefer servers with a connection
 	Loads   AccountLoads             // nil: no account is known to send more than usual
 	Rand    *rand.Rand               // set by tests and simulations; nil means the generators of the runtime
 	work    cowMap[average]          // median duration of work in ns, by route name
@@ -244,6 +248,7 @@
 			continue
 		}
 		c := placement.Candidate{Estimate: e, Local: s.Local, RejectsExcess: s.ReportsRunningOnly, Queried: contains(q.updated, s.Name)}
+		c.NeedsConnection = p.Idle != nil && !p.Idle.HasIdle(s.Address)
 		if !s.Local {
 			c.ExtraRoundTrip = remoteExtraRoundTrip
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,6 +28,10 @@
 	// unhealthyPenalty is the part of PenaltyScale added for a server that fails
 	// its health check. It is not excluded, because health checks can be wrong.
 	unhealthyPenalty = 1.0
+	// connectionPenalty is the part of PenaltyScale added for a server to which a connection
+	// would have to be opened. A host sees few requests for each of many servers: without
+	// it, nearly every request opens a connection, and idle ones expire unused.
+	connectionPenalty = 0.1
 	// scoreJitter is the relative width of the random factor that keeps hosts with
 	// equal views from choosing the same server.
 	scoreJitter = 0.10
@@ -63,6 +67,8 @@
 	// score worsens with its utilization, to leave free slots to hosts that do not
 	// know of this request yet.
 	RejectsExcess bool
+	// NeedsConnection is set for a server to which a connection would have to be opened.
+	NeedsConnection bool
 	// Queried is set for a server that was queried for this request. It has no random
 	// factor, so that a server with an older reading does not win a tie.
 	Queried bool
@@ -100,6 +106,9 @@
 	if s.Unhealthy {
 		score += unhealthyPenalty * float64(req.PenaltyScale)
 	}
+	if s.NeedsConnection {
+		score += connectionPenalty * float64(req.PenaltyScale)
+	}
 	if !s.Local {
 		score += remotePenalty * float64(req.PenaltyScale)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -144,3 +144,20 @@
 		t.Errorf("%d in time, %d late: %.2f of the servers' capacity in time", inTime, late, share)
 	}
 }
+
+// TestOpenConnectionPreferred guards against a request that opens a connection although a
+// server that would be as fast has an idle one, and against one that keeps to its connections
+// when another server would be much faster.
+func TestOpenConnectionPreferred(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	req := Requirements{Work: 200 * time.Millisecond, Objective: 600 * time.Millisecond, PenaltyScale: 600 * time.Millisecond, TimeLeft: time.Second, Urgency: 1}
+	for speed, want := range map[float64]int{1: 1, 1.1: 1, 2: 0} {
+		for range 100 {
+			var c Choice
+			c.Consider(0, Candidate{Estimate: load.Estimate{Known: true, Slots: 2, Speed: 1, Slowdown: 1}, Local: true, NeedsConnection: true}, req, rng)
+			c.Consider(1, Candidate{Estimate: load.Estimate{Known: true, Slots: 2, Speed: speed, Slowdown: 1}, Local: true}, req, rng)
+			is.Equal(c.Best.Index, want)
+		}
+	}
+}
