--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -144,3 +144,41 @@
 		t.Errorf("%d in time, %d late: %.2f of the servers' capacity in time", inTime, late, share)
 	}
 }
+
+// TestOpenConnectionPreferred guards against a request that opens a connection although a
+// server that would be as fast has an idle one, and against one that keeps to its connections
+// when another server would be much faster.
+func TestOpenConnectionPreferred(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	req := Requirements{Work: 200 * time.Millisecond, Objective: 600 * time.Millisecond, PenaltyScale: 600 * time.Millisecond, TimeLeft: time.Second, Urgency: 1}
+	for speed, want := range map[float64]int{1: 1, 1.1: 1, 2: 0} {
+		for range 100 {
+			var c Choice
+			c.Consider(0, Candidate{Estimate: load.Estimate{Known: true, Slots: 2, Speed: 1, Slowdown: 1}, Local: true, NeedsConnection: true}, req, rng)
+			c.Consider(1, Candidate{Estimate: load.Estimate{Known: true, Slots: 2, Speed: speed, Slowdown: 1}, Local: true}, req, rng)
+			is.Equal(c.Best.Index, want)
+		}
+	}
+}
+
+// TestOldReadings replays a service of which most servers are busy or slow, so that a server
+// that looks free by an old reading probably is not. It guards against a request that goes to
+// such a server rather than to one that is known to have a slot, and against one that avoids
+// an old reading when all servers are free.
+func TestOldReadings(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	req := Requirements{Work: 200 * time.Millisecond, Objective: 600 * time.Millisecond, PenaltyScale: 600 * time.Millisecond, TimeLeft: time.Second, Urgency: 1}
+	old := Candidate{Estimate: load.Estimate{Known: true, Slots: 2, Speed: 1, Slowdown: 1, Age: 150 * time.Millisecond}, Local: true}
+	known := Candidate{Estimate: load.Estimate{Known: true, Slots: 2, Speed: 1, Slowdown: 1, Running: 1, Age: time.Millisecond}, Local: true, Queried: true}
+	for typical, want := range map[time.Duration]int{200 * time.Millisecond: 0, 600 * time.Millisecond: 1, 0: 0} {
+		req.Typical = typical
+		for range 100 {
+			var c Choice
+			c.Consider(0, old, req, rng)
+			c.Consider(1, known, req, rng)
+			is.Equal(c.Best.Index, want)
+		}
+	}
+}
