Start slow at servers that nobody knows to be warm

Cause: a new host took every server for warm of which no other host had said otherwise. When all hosts and all servers are new, nobody says so, and 16 to 23 requests of TestColdFleet exceeded what the cold servers bear. Waiting for news of the servers had been tried without readiness and refused first requests.

Change: a new host assumes that servers that do not report a cold start are cold, until another host says that it knows them, and is ready once that is decided: 0.15 s after such a message, or 0.3 s after it lists the servers. An assumption is reported to other hosts only once it stands. The hosts of a data centre share these servers evenly, so that each host has some in a cold fleet. measures assigns servers when the list changes, not at the next tick.

--- a/internal/controller/measures/heartbeats.go
+++ b/internal/controller/measures/heartbeats.go
@@ -62,7 +62,7 @@
 		if len(b.Readings) == maxReadings {
 			break
 		}
-		if s.ReportsRunningOnly && s.Load.SlowStart.Cold(now) {
+		if c.reportsSlowStart(s, now) {
 			b.Readings = append(b.Readings, coldStartReading(s, now))
 		} else if r := s.Load.Reading(); r != nil && now.Sub(r.At) < maxReadingAge {
 			b.Readings = append(b.Readings, toWire(s.Name, r, now))
@@ -70,7 +70,7 @@
 	}
 	for _, s := range c.cfg.Store.Load().Servers.ByName {
 		if s.ReportsRunningOnly && assigned[s.Name] == nil && len(b.Readings) < maxReadings {
-			if startedAt := s.Load.SlowStart.StartedAt(); startedAt != 0 && now.Sub(startedAt) < startReportTime {
+			if startedAt := s.Load.SlowStart.StartedAt(); startedAt != 0 && !s.Load.SlowStart.Assumed() && now.Sub(startedAt) < startReportTime {
 				b.Readings = append(b.Readings, coldStartReading(s, startedAt))
 			}
 		}
@@ -96,7 +96,7 @@
 		if !s.Local || s.Leaving || len(b.Readings) == maxReadings {
 			continue
 		}
-		if s.ReportsRunningOnly && s.Load.SlowStart.Cold(now) && (*c.assigned.Load())[s.Name] != nil {
+		if (*c.assigned.Load())[s.Name] != nil && c.reportsSlowStart(s, now) {
 			b.Readings = append(b.Readings, coldStartReading(s, now))
 		} else if r := s.Load.Reading(); r != nil && now.Sub(r.At) < maxDigestReadingAge {
 			b.Readings = append(b.Readings, toWire(s.Name, r, now))
@@ -131,6 +131,13 @@
 	}
 }
 
+// reportsSlowStart reports whether this host, which probes the server, reports it as cold.
+// A process that may yet learn that the server is warm does not report an assumption.
+func (c *Controller) reportsSlowStart(s *state.Server, now clock.Time) bool {
+	slow := &s.Load.SlowStart
+	return s.ReportsRunningOnly && slow.Cold(now) && (!slow.Assumed() || c.cfg.Settled == nil || c.cfg.Settled())
+}
+
 // coldStartReading returns a reading that marks a server as cold since a start at
 // the given time, for servers that do not report a cold start themselves.
 func coldStartReading(s *state.Server, at clock.Time) wire.Reading {
--- a/internal/controller/measures/measures.go
+++ b/internal/controller/measures/measures.go
@@ -8,16 +8,15 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
-	"github.com/anvilfront/anvilfront/internal/filters"
 	"github.com/anvilfront/anvilfront/internal/load"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/metrics"
@@ -67,6 +66,9 @@
 	Mesh      Mesh
 	Counters  *metrics.Counters
 	Log       *zap.Logger
+	// Settled reports whether assumed slow starts may be reported to other hosts; nil:
+	// there are none.
+	Settled func() bool
 }
 
 // Controller writes the readings of probes and heartbeats. The only other writers
@@ -83,6 +85,7 @@
 	workers  map[string]*worker // by server name; used by Run's goroutine only
 	demand   atomic.Pointer[demandTable]
 	assigned atomic.Pointer[map[string]*state.Server]
+	ready    atomic.Bool // servers were assigned
 	limited  atomic.Pointer[limitedServers]
 	index    atomic.Pointer[serverIndex]
 }
@@ -123,6 +126,10 @@
 	return (s.ReportsRunningOnly || c.cfg.Clock.Now().Sub(0) >= coldSendDelay) && (*c.assigned.Load())[s.Name] != nil
 }
 
+// Assigned reports whether the hosts have shared the servers of a manifest, so that this
+// one knows to which cold servers it may send.
+func (c *Controller) Assigned() bool { return c.ready.Load() }
+
 // Run probes the servers assigned to this host until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	var wg conc.WaitGroup
@@ -136,10 +143,17 @@
 	var lastManifest *manifest.Manifest
 	var lastView *roster.View
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		changed := c.cfg.Store.Changed()
+		if c.cfg.Store.Load().Servers == lastServers {
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+				if c.cfg.Store.Load().Servers == lastServers {
+					continue
+				}
+			case <-ticker.C:
+			}
 		}
 		snapshot, v := c.cfg.Store.Load(), c.cfg.Mesh.View()
 		if snapshot.Manifest != lastManifest {
@@ -196,12 +210,7 @@
 // assign starts and stops workers so that each server that this host probes has
 // one.
 func (c *Controller) assign(ctx context.Context, wg *conc.WaitGroup, servers *state.Servers, v *roster.View) {
-	assigned := map[string]*state.Server{}
-	for name, s := range servers.ByName {
-		if s.Local && !s.Leaving && v.IsShardOwner(TaskName(name)) {
-			assigned[name] = s
-		}
-	}
+	assigned := assignedServers(servers, v)
 	for name, w := range c.workers {
 		if s := assigned[name]; s == nil || s.Load != w.server.Load {
 			close(w.ticks)
@@ -220,6 +229,37 @@
 	}
 	c.assigned.Store(&assigned)
 	c.assignLimited(servers, v)
+	if c.cfg.Store.Load().Manifest != nil {
+		c.ready.Store(true)
+	}
+}
+
+// assignedServers returns the servers that this host probes. Only their probing host may
+// send to servers that do not report a cold start, while they are cold: all hosts share
+// these evenly, so that in a cold fleet each host has a server for its requests.
+func assignedServers(servers *state.Servers, v *roster.View) map[string]*state.Server {
+	assigned := map[string]*state.Server{}
+	shared := map[string][]string{} // tasks of servers that are shared evenly, by service
+	byTask := map[string]*state.Server{}
+	for name, s := range servers.ByName {
+		switch {
+		case !s.Local || s.Leaving:
+		case s.ReportsRunningOnly:
+			task := TaskName(name)
+			shared[s.Service] = append(shared[s.Service], task)
+			byTask[task] = s
+		case v.IsShardOwner(TaskName(name)):
+			assigned[name] = s
+		}
+	}
+	for _, tasks := range shared {
+		slices.Sort(tasks)
+		for _, task := range v.OwnedShare(tasks) {
+			s := byTask[task]
+			assigned[s.Name] = s
+		}
+	}
+	return assigned
 }
 
 // startProbes starts a probe of each server that is due and whose previous probe has
@@ -263,126 +303,3 @@
 	}
 	return intervals
 }
-
-// worker probes one server.
-type worker struct {
-	c             *Controller
-	server        *state.Server
-	ticks         chan struct{}
-	probedAt      clock.Time // time of the last tick; used by the controller's goroutine only
-	failedProbes  int
-	nextProbe     clock.Time
-	budget        *load.Budget
-	budgetService *manifest.Service // service that budget was made for
-	rateLimit     float64           // in the last response, in requests per second
-}
-
-func (w *worker) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case _, ok := <-w.ticks:
-			if !ok {
-				return
-			}
-		}
-		if now := w.c.cfg.Clock.Now(); now.Before(w.nextProbe) || w.server.Load.Declined(now) {
-			continue
-		}
-		service := w.service()
-		if service == nil || service.HealthPath == "" || !w.takeFromBudget(service) {
-			continue
-		}
-		w.c.inFlight.Add(1)
-		if p := panics.Try(func() { w.probe(ctx, service) }); p != nil {
-			w.c.failed.Add(1)
-			w.c.log.Error("A probe panicked. The server is probed again.", zap.String("server", w.server.Name), zap.Error(p.AsError()))
-		}
-		if w.c.inFlight.Add(-1) == 0 {
-			w.c.cfg.Mesh.Flush()
-		}
-	}
-}
-
-func (w *worker) service() *manifest.Service {
-	if m := w.c.cfg.Store.Load().Manifest; m != nil {
-		return m.Services[w.server.Service]
-	}
-	return nil
-}
-
-// takeFromBudget takes a probe from this host's share of the service's budget, if
-// the service has one. The share allows for several hosts that probe the server
-// while their views differ.
-func (w *worker) takeFromBudget(service *manifest.Service) bool {
-	if service.ProbesPerSecond <= 0 {
-		w.budget = nil
-		return !w.server.ReportsRunningOnly
-	}
-	now := w.c.cfg.Clock.Now()
-	if w.budgetService != service {
-		share := 1 / float64(roster.MaxConcurrentOwners*max(len(service.BackendServers), 1))
-		w.budgetService, w.budget = service, load.NewBudget(service.ProbesPerSecond*share, service.ProbeBytesPerSecond*share, now)
-	}
-	return w.budget.Take(now)
-}
-
-// probe queries the server once and records the reading.
-func (w *worker) probe(ctx context.Context, service *manifest.Service) {
-	c, s := w.c, w.server
-	c.probes.Add(1)
-	res := c.cfg.Transport.Do(ctx, &filter.Attempt{
-		Address: s.Address, Instance: s.Name, Probe: true, Remaining: probeTimeout, Timeout: probeTimeout,
-		Request: &filter.Request{Method: "GET", Host: s.Address, Path: service.HealthPath},
-	})
-	if ctx.Err() != nil {
-		return
-	}
-	now := c.cfg.Clock.Now()
-	if res.RetryAfter > 0 {
-		s.Load.DeclineUntil(now.Add(res.RetryAfter))
-	}
-	if w.budget != nil {
-		w.budget.SpendBytes(requestBytes + len(service.HealthPath) + responseSize(&res))
-	}
-	valid := res.Response != nil && (s.ReportsRunningOnly || res.Load == nil || res.Load.Instance == "" || res.Load.Instance == s.Name)
-	if !valid {
-		c.failed.Add(1)
-		if w.failedProbes++; w.failedProbes >= silentThreshold {
-			if w.failedProbes == silentThreshold {
-				c.log.Warn("Backend server did not respond to probes; no new requests are sent to it.", zap.String("server", s.Name), zap.Error(res.Err))
-			}
-			s.Load.Observe(load.Reading{At: now, Speed: 1, Silent: true})
-		}
-		return
-	}
-	if w.failedProbes >= silentThreshold {
-		c.log.Info("Backend server responds to probes again.", zap.String("server", s.Name))
-	}
-	w.failedProbes = 0
-	r := load.Reading{At: now, Speed: 1}
-	if res.Load != nil {
-		r = filters.ReadingOf(res.Load, now)
-	}
-	if w.budget == nil && (res.Load == nil || res.Load.Slots == 0) {
-		w.nextProbe = now.Add(noLoadReportInterval)
-	}
-	if s.ReportsRunningOnly && res.Load != nil {
-		s.Load.SlowStart.ObserveInstance(now, res.Load.Instance)
-	}
-	r.Unhealthy = res.Response.Status != 200
-	if r.RateLimit != w.rateLimit {
-		c.log.Info("The rate limit that a backend server names has changed; 0 is no limit.", zap.String("server", s.Name),
-			zap.Float64("limit", r.RateLimit), zap.Float64("previous_limit", w.rateLimit))
-		w.rateLimit = r.RateLimit
-	}
-	s.Load.Observe(r)
-}
-
-func responseSize(res *filter.Result) int {
-	if res.Response == nil {
-		return 0
-	}
-	return responseHeadBytes + len(res.Response.Body)
-}
--- a/internal/controller/measures/measures_test.go
+++ b/internal/controller/measures/measures_test.go
@@ -199,3 +199,59 @@
 	a.AddToHeartbeat(now, sent)
 	is.Equal(len(sent.Readings), 0) // once
 }
+
+// TestAssumedStartIsNotReported guards against a new process that makes other hosts treat
+// warm servers as cold, before it has heard of them, and against a cold server that no
+// host reports.
+func TestAssumedStartIsNotReported(t *testing.T) {
+	is := is.New(t)
+	now, settled := clock.Time(time.Second), false
+	h := newHost(clock.NewMonotonic(), "eh1", 2, &fakeTransport{})
+	h.cfg.Settled = func() bool { return settled }
+	b0, b1 := h.server("b0"), h.server("b1")
+	h.assigned.Store(&map[string]*state.Server{"b0": b0}) // b1 is probed by another host
+	reported := func() (cold []uint32) {
+		heartbeat, digest := &wire.Heartbeat{}, &wire.Heartbeat{}
+		h.AddToHeartbeat(now, heartbeat)
+		h.AddToDigest(now, digest)
+		is.Equal(len(heartbeat.Readings), len(digest.Readings))
+		for _, r := range heartbeat.Readings {
+			if r.ColdMillis > 0 {
+				cold = append(cold, r.Server)
+			}
+		}
+		return cold
+	}
+	b0.Load.SlowStart.Assume(now)
+	b1.Load.SlowStart.Assume(now)
+	is.Equal(len(reported()), 0)
+	settled = true
+	is.Equal(reported(), []uint32{wire.ServerHash("b0")})
+}
+
+// TestColdServersAreSharedEvenly guards against a host of a cold fleet that may send to no
+// server, while other hosts of its data centre may send to several.
+func TestColdServersAreSharedEvenly(t *testing.T) {
+	is := is.New(t)
+	addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+	servers := &state.Servers{ByName: map[string]*state.Server{}}
+	for i := range 6 {
+		name := fmt.Sprint("b", i)
+		servers.ByName[name] = &state.Server{BackendServer: manifest.BackendServer{Name: name}, Service: "s", Local: true, ReportsRunningOnly: true}
+	}
+	owner := map[string]string{}
+	for _, self := range addresses {
+		var others []roster.Host
+		for _, a := range addresses {
+			if a != self {
+				others = append(others, roster.Host{Address: a})
+			}
+		}
+		assigned := assignedServers(servers, roster.NewView(roster.Host{Address: self}, others))
+		is.Equal(len(assigned), 2)
+		for name := range assigned {
+			is.Equal(owner[name], "")
+			owner[name] = self
+		}
+	}
+}
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -47,6 +47,9 @@
 	Seeds []string
 	// Hosts reads the platform's host list. It is nil if there is none.
 	Hosts func(ctx context.Context) ([]membership.ListedHost, error)
+	// KnowsServers reports whether this host knows which backend servers are cold; nil:
+	// never.
+	KnowsServers func() bool
 }
 
 // Controller owns state.Members.
@@ -63,6 +66,7 @@
 
 	handlers   []func(from string, u wire.Update)
 	onRevision func(address string, revision uint64)
+	onInformed func()
 
 	sent, missed, suspected, dropped, hostErrors *expvar.Int
 }
@@ -98,6 +102,10 @@
 // manifest revision than this host. f must not block. Call OnRevision before Run.
 func (c *Controller) OnRevision(f func(address string, revision uint64)) { c.onRevision = f }
 
+// OnInformedPeer registers f, which is called at each message of a host that knows which
+// backend servers are cold. f must not block. Call OnInformedPeer before Run.
+func (c *Controller) OnInformedPeer(f func()) { c.onInformed = f }
+
 // Publish implements peer.Gossip.
 func (c *Controller) Publish(u wire.Update) {
 	c.mu.Lock()
@@ -272,6 +280,9 @@
 			f(u.Origin, u)
 		}
 	}
+	if c.onInformed != nil && h.KnowsServers {
+		c.onInformed()
+	}
 	if c.onRevision != nil && address != "" && h.Revision > c.revision() {
 		c.onRevision(address, h.Revision)
 	}
@@ -297,7 +308,10 @@
 
 func (c *Controller) header() wire.Header {
 	self := c.Store.Load().Members.Self
-	return wire.Header{Version: wire.Version, From: self.Name, Incarnation: self.Incarnation, Revision: c.revision()}
+	return wire.Header{
+		Version: wire.Version, From: self.Name, Incarnation: self.Incarnation, Revision: c.revision(),
+		KnowsServers: c.KnowsServers != nil && c.KnowsServers(),
+	}
 }
 
 // Leave announces a planned stop: immediately to a few members, then with the
--- a/internal/controller/servers/servers.go
+++ b/internal/controller/servers/servers.go
@@ -19,6 +19,31 @@
 	Clock clock.Clock
 	Store *state.Store
 	Log   *zap.Logger
+	// AssumeCold makes a new process treat all servers as just started until
+	// HandleInformedPeer is called.
+	AssumeCold bool
+
+	startup load.Startup
+}
+
+// HandleInformedPeer records that another host knows which servers are cold and reports
+// these. The others are warm.
+func (c *Controller) HandleInformedPeer() {
+	if c.startup.Inform(c.Clock.Now()) {
+		confirmWarm(c.Store.Load().Servers)
+	}
+}
+
+// Settled reports whether this process has decided which servers it treats as cold.
+func (c *Controller) Settled() bool { return !c.AssumeCold || c.startup.Settled(c.Clock.Now()) }
+
+// KnowsServers reports whether this process knows which servers are cold.
+func (c *Controller) KnowsServers() bool { return c.startup.Knows(c.Clock.Now()) }
+
+func confirmWarm(servers *state.Servers) {
+	for _, s := range servers.ByName {
+		s.Load.SlowStart.ConfirmWarm()
+	}
 }
 
 // Run applies each new manifest until ctx ends.
@@ -60,15 +85,23 @@
 	if snap.Manifest == nil || snap.Servers.Manifest == snap.Manifest {
 		return
 	}
-	next := build(snap.Manifest, snap.Servers, snap.Members.Self.DataCentre, c.Clock.Now())
+	now := c.Clock.Now()
+	next := build(snap.Manifest, snap.Servers, snap.Members.Self.DataCentre, now)
+	if first := snap.Servers.Manifest == nil; first && c.AssumeCold {
+		for _, s := range next.ByName {
+			s.Load.SlowStart.Assume(now)
+		}
+	}
+	c.startup.Begin(now)
 	c.Store.Update(func(s *state.Snapshot) { s.Servers = next })
+	if c.startup.Informed() {
+		confirmWarm(next) // HandleInformedPeer may have seen the previous servers only
+	}
 	c.Log.Info("Backend servers updated from the manifest.", zap.Uint64("revision", snap.Manifest.File.Revision), zap.Int("servers", len(next.ByName)))
 }
 
 // build returns the servers that m lists. Servers that stay keep their load state.
-// A server that is new or returns to service is treated as just started. A new
-// entry host treats all servers as warm: it knows no more than the other hosts,
-// which report cold servers to it.
+// A server that is new or returns to service is treated as just started.
 func build(m *manifest.Manifest, old *state.Servers, dataCentre string, now clock.Time) *state.Servers {
 	out := &state.Servers{
 		ByService: map[string][]*state.Server{}, ByName: map[string]*state.Server{}, Out: map[string]bool{}, Manifest: m,
--- a/internal/controller/servers/servers_test.go
+++ b/internal/controller/servers/servers_test.go
@@ -85,3 +85,34 @@
 		c.WaitApplied(ctx) // returns at once
 	})
 }
+
+// TestNewHostAssumesColdServers guards against a new host that takes the servers of a cold
+// fleet for warm, and against one that keeps those of a warm fleet cold, whether it lists
+// the servers before or after another host says that it knows them.
+func TestNewHostAssumesColdServers(t *testing.T) {
+	for _, informedFirst := range []bool{false, true} {
+		is := is.New(t)
+		now := &clock.Manual{}
+		now.Set(clock.Time(time.Hour))
+		store := state.NewStore(state.Member{Name: "eh1", DataCentre: "dc1"})
+		c := &Controller{Clock: now, Store: store, Log: zap.NewNop(), AssumeCold: true}
+		limit := func() int {
+			s := store.Load().Servers.ByName["b1"]
+			return s.Load.SlowStart.Limit(now.Now(), s.Slots)
+		}
+		is.True(!c.Settled())
+		if informedFirst {
+			c.HandleInformedPeer()
+		}
+		store.Update(func(s *state.Snapshot) { s.Manifest = parseManifest(t, 1, 2, false, "") })
+		c.apply()
+		if !informedFirst {
+			is.Equal(limit(), 1)
+			c.HandleInformedPeer()
+		}
+		is.Equal(limit(), 4)
+		now.Set(now.Now().Add(time.Second))
+		is.True(c.Settled())
+		is.True(c.KnowsServers())
+	}
+}
--- a/internal/entryhost/assemble.go
+++ b/internal/entryhost/assemble.go
@@ -68,9 +68,10 @@
 func (e *EntryHost) assembleControllers(incarnation uint64) (err error) {
 	s, log := e.settings, e.log
 	service := configservice.New(s.Platform, nil, e.counters)
+	e.servers = &servers.Controller{Clock: e.clock, Store: e.store, Log: log.Named("servers"), AssumeCold: true}
 	mc := members.Config{
 		Clock: e.clock, Store: e.store, Caller: e.peerClient, Counters: e.counters,
-		Log: log.Named("members"), Rand: newRand(), Seeds: s.Peers,
+		Log: log.Named("members"), Rand: newRand(), Seeds: s.Peers, KnowsServers: e.servers.KnowsServers,
 	}
 	if service.Configured() {
 		mc.Hosts = members.PlatformHosts(service)
@@ -81,16 +82,17 @@
 		Counters: e.counters, Log: log.Named("manifests"), Rand: newRand(), Seeds: s.Peers,
 	})
 	e.members.OnRevision(e.manifests.HandlePeerRevision)
+	e.members.OnInformedPeer(e.servers.HandleInformedPeer)
 	e.pauseDetector = &pause.Detector{
 		Clock: e.clock, Store: e.store, Resync: e.resync, Counters: e.counters, Log: log.Named("pause"),
 	}
-	e.servers = &servers.Controller{Clock: e.clock, Store: e.store, Log: log.Named("servers")}
 	e.heartbeats = heartbeats.New(heartbeats.Config{
 		Clock: e.clock, Store: e.store, Caller: e.peerClient, Header: e.members.Header,
 		Counters: e.counters, Log: log.Named("beats"), Rand: newRand(),
 	})
 	e.measures = measures.New(measures.Config{
 		Clock: e.clock, Store: e.store, Transport: e.transport, Mesh: e.heartbeats, Counters: e.counters, Log: log,
+		Settled: e.servers.Settled,
 	})
 	e.heartbeats.SetHandler(e.measures)
 	e.placement = &filters.Placement{Clock: e.clock, Store: e.store, Cold: e.measures}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -165,6 +165,8 @@
 		return false, "the process was paused and refreshes its state"
 	case !e.servers.Ready():
 		return false, "the backend servers of the manifest are not known yet"
+	case !e.servers.Settled() || !e.measures.Assigned():
+		return false, "which backend servers are cold is not known yet"
 	}
 	return true, ""
 }
--- a/internal/load/slowstart.go
+++ b/internal/load/slowstart.go
@@ -12,10 +12,10 @@
 	// last reported its start. The host that probes the server repeats the report in
 	// each heartbeat, several times within this period.
 	ColdStartTTL = time.Second
-	// slowStartTimeout ends the slow start of a server that gets too few requests to
+	// SlowStartTimeout ends the slow start of a server that gets too few requests to
 	// show that it is warm. Without it, a host without traffic would keep the server
 	// cold for all other hosts.
-	slowStartTimeout = 30 * time.Second
+	SlowStartTimeout = 30 * time.Second
 	// successesPerStep is the number of successes per unit of limit before the limit
 	// rises by one. With 8, a server with 4 slots goes from 1 to all in 48 requests.
 	successesPerStep = 8
@@ -39,9 +39,10 @@
 
 // step is the progress of a slow start. It is immutable.
 type step struct {
-	limit     int // concurrent requests
-	successes int // since the limit was set
-	backoff   int // factor on the successes needed for the next step
+	limit     int  // concurrent requests
+	successes int  // since the limit was set
+	backoff   int  // factor on the successes needed for the next step
+	assumed   bool // no sign of a start was seen; see Assume
 }
 
 // Begin starts a slow start at a sign that the server's process started at now.
@@ -53,6 +54,27 @@
 	s.step.Store(&step{limit: 1, backoff: 1})
 }
 
+// Assume starts a slow start without a sign of a start, because nothing is known of the
+// server. ConfirmWarm ends it.
+func (s *SlowStart) Assume(now clock.Time) {
+	if s.step.CompareAndSwap(nil, &step{limit: 1, backoff: 1, assumed: true}) {
+		s.startedAt.Store(max(int64(now), 1))
+	}
+}
+
+// ConfirmWarm ends a slow start that was only assumed.
+func (s *SlowStart) ConfirmWarm() {
+	if v := s.step.Load(); v != nil && v.assumed && s.step.CompareAndSwap(v, nil) {
+		s.startedAt.Store(0)
+	}
+}
+
+// Assumed reports whether the slow start in progress is an assumption.
+func (s *SlowStart) Assumed() bool {
+	v := s.step.Load()
+	return v != nil && v.assumed
+}
+
 // StartedAt returns the time of the last sign of a start, or 0.
 func (s *SlowStart) StartedAt() clock.Time { return clock.Time(s.startedAt.Load()) }
 
@@ -85,7 +107,7 @@
 		if old.limit+1 >= slots {
 			return nil
 		}
-		return &step{limit: old.limit + 1, backoff: old.backoff}
+		return &step{limit: old.limit + 1, backoff: old.backoff, assumed: old.assumed}
 	})
 }
 
@@ -93,7 +115,7 @@
 // needed for a step, so that the limit is not raised into failure repeatedly.
 func (s *SlowStart) RecordFailure() {
 	s.update(func(old step) *step {
-		return &step{limit: max(1, old.limit-1), backoff: min(2*old.backoff, maxBackoffFactor)}
+		return &step{limit: max(1, old.limit-1), backoff: min(2*old.backoff, maxBackoffFactor), assumed: old.assumed}
 	})
 }
 
@@ -109,7 +131,7 @@
 
 // Limit returns the maximum number of concurrent requests to the server.
 func (s *SlowStart) Limit(now clock.Time, slots int) int {
-	if v := s.step.Load(); v != nil && now.Sub(s.StartedAt()) < slowStartTimeout {
+	if v := s.step.Load(); v != nil && now.Sub(s.StartedAt()) < SlowStartTimeout {
 		return min(v.limit, slots)
 	}
 	return slots
@@ -117,5 +139,5 @@
 
 // Cold reports whether the slow start is in progress.
 func (s *SlowStart) Cold(now clock.Time) bool {
-	return s.step.Load() != nil && now.Sub(s.StartedAt()) < slowStartTimeout
+	return s.step.Load() != nil && now.Sub(s.StartedAt()) < SlowStartTimeout
 }
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -74,10 +75,15 @@
 
 func dataCentre(i int) string { return fmt.Sprintf("dc%d", i%dataCentreCount+1) }
 
+var fleetSeed = flag.Uint64("seed", 0, "seed of the fleet; 0: a random one")
+
 // startFleet starts a fleet and waits until it has converged.
 func startFleet(t *testing.T, binary string, configure func(*fake.Backend)) *fleet {
 	t.Helper()
-	seed := rand.Uint64()
+	seed := *fleetSeed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
 	t.Logf("seed %d", seed)
 	f := &fleet{
 		t: t, binary: binary, rand: rand.New(rand.NewPCG(seed, 1)), platform: fake.NewPlatform(),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,8 @@
 	From        string // name of the sending entry host
 	Incarnation uint64 // of the sending process
 	Revision    uint64 // revision of the current manifest of the sender
+	// KnowsServers is set by a host that knows which backend servers are cold.
+	KnowsServers bool
 }
 
 // Member is the state of one entry host in gossip.
