Spend less on probes while a new host knows no other one

Cause: after a restart of all hosts each of them considers itself alone at first, and probes every server of its data centre: up to 900 probes a second at a host of 0.16 of a core, while its first callers wait for the same processor.

Change: a new host that knows no other host of its data centre and would probe more than 16 servers sends no probes until it knows one, for 0.3 s at most (load.ProbesAtStart). Readiness is not delayed.

--- a/internal/controller/measures/measures.go
+++ b/internal/controller/measures/measures.go
@@ -269,6 +269,9 @@
 		c.cfg.Mesh.Flush() // some probes are late; send the readings that have arrived
 	}
 	now := c.cfg.Clock.Now()
+	if !load.ProbesAtStart(now.Sub(0), len(c.cfg.Mesh.View().Local), len(c.workers)) {
+		return
+	}
 	intervals := c.probeIntervals(now, shortest)
 	for _, w := range c.workers {
 		if !w.server.ReportsRunningOnly && !load.ProbeDue(now, w.probedAt, w.server.Load.Reading(), intervals[w.server.Service]) {
--- a/internal/load/demand.go
+++ b/internal/load/demand.go
@@ -20,8 +20,22 @@
 	// busyUtilization is the share of the slots of a service above which each placement
 	// needs fresh readings: hosts then choose among few free slots.
 	busyUtilization = 0.5
+	// startProbeDelay is how long a new process that knows no other host of its data centre
+	// sends no probes. Hosts that start at the same time know each other by then; each of
+	// them would probe all servers until it does.
+	startProbeDelay = 300 * time.Millisecond
+	// maxServersAlone is the number of servers up to which such a process probes them at
+	// once: it may be the only host, and they cost it little of its processor time.
+	maxServersAlone = 16
 )
 
+// ProbesAtStart reports whether a process of the given age sends probes. peers is the
+// number of other hosts of its data centre that it knows, servers that of the servers that
+// it would probe.
+func ProbesAtStart(age time.Duration, peers, servers int) bool {
+	return age >= startProbeDelay || peers > 0 || servers <= maxServersAlone
+}
+
 // Demand estimates the rate of the requests to one service from their number. Add is safe
 // for concurrent use; the other methods are for one goroutine. The zero value stands for a
 // high rate, since nothing is known yet.
--- a/internal/load/demand_test.go
+++ b/internal/load/demand_test.go
@@ -9,6 +9,17 @@
 	"github.com/anvilfront/anvilfront/internal/clock"
 )
 
+// TestProbesAtStart guards against a host that probes all servers of its data centre while
+// it does not know the other hosts yet, as each of them would after a restart of all, and
+// against one that never probes because it is alone.
+func TestProbesAtStart(t *testing.T) {
+	is := is.New(t)
+	is.True(!ProbesAtStart(startProbeDelay-1, 0, maxServersAlone+1))
+	is.True(ProbesAtStart(startProbeDelay-1, 1, maxServersAlone+1))
+	is.True(ProbesAtStart(0, 0, maxServersAlone))
+	is.True(ProbesAtStart(startProbeDelay, 0, 1000))
+}
+
 // TestProbeInterval replays a service that is new, then busy, then idle. It guards against
 // servers that are probed far more often than requests need their load, and against a
 // busy service whose servers are rarely probed.
