Spread requests by slots among servers without a reading

Cause: a host that knows nothing of several servers chose among them evenly, so that a server of 2 slots got as many requests as one of 4 until the first readings arrived.

Change: the score of a server without any reading has a random part whose mean is inverse to its slots. Servers with a reading are scored as before.

Result: TestUnknownServersBySlots: of 3,000 requests 1,955 go to the servers of 4 slots and 1,045 to those of 2; without the change it fails.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,6 +25,11 @@
 	// unknownPenalty is the part of PenaltyScale added for a server without a
 	// recent reading.
 	unknownPenalty = 0.5
+	// unknownSpread is the mean of the random part of the score of a server without any
+	// reading, as a multiple of the work, for a server of one slot. The least of such values
+	// spreads requests in proportion to the slots: of two servers of which nothing is known,
+	// the one with twice the slots is chosen about twice as often.
+	unknownSpread = 0.6
 	// unhealthyPenalty is the part of PenaltyScale added for a server that fails
 	// its health check. It is not excluded, because health checks can be wrong.
 	unhealthyPenalty = 1.0
@@ -93,6 +98,9 @@
 	if !s.Known || s.Age > maxReadingAge {
 		score += unknownPenalty * float64(req.PenaltyScale)
 	}
+	if !s.Known {
+		score += unknownSpread * float64(req.Work) * r.ExpFloat64() / float64(max(s.Slots, 1))
+	}
 	if s.Unhealthy {
 		score += unhealthyPenalty * float64(req.PenaltyScale)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -144,3 +144,21 @@
 		t.Errorf("%d in time, %d late: %.2f of the servers' capacity in time", inTime, late, share)
 	}
 }
+
+// TestUnknownServersBySlots guards against hosts that have just started and send a small
+// server as many requests as a large one, of which they know no more than the slots.
+func TestUnknownServersBySlots(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 2))
+	req := Requirements{Work: 200 * time.Millisecond, Objective: 600 * time.Millisecond, PenaltyScale: 600 * time.Millisecond}
+	chosen := map[int]int{} // by slots
+	for range 3000 {
+		var c Choice
+		for i, slots := range []int{2, 2, 4, 4} {
+			c.Consider(i, Candidate{Estimate: load.Estimate{Slots: slots, Speed: 1}, Local: true}, req, r)
+		}
+		chosen[c.Best.Load.Slots]++
+	}
+	t.Logf("requests by slots: %v", chosen)
+	is.True(chosen[4] > 3*chosen[2]/2 && chosen[4] < 3*chosen[2])
+}
