--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -19,14 +19,16 @@
 // Node decides for one host: it asks for tokens, and grants them for the accounts that it
 // owns. It is not safe for concurrent use; only the Accounts are.
 type Node struct {
-	cfg      Config
-	fleet    Fleet
-	accounts map[Key]*accountState
-	pending  map[uint32]*accountState // by ID of the ask that is not answered yet
-	nextID   uint32
-	lastRun  clock.Time
-	informed bool // an older process has answered
-	counts   Counts
+	cfg       Config
+	fleet     Fleet
+	accounts  map[Key]*accountState
+	pending   map[uint32]*accountState // by ID of the ask that is not answered yet
+	nextID    uint32
+	lastRun   clock.Time
+	fleetSize Size
+	older     heard // from older processes
+	cut       cut
+	counts    Counts
 }
 
 // accountState is what a Node keeps of one account: some 300 bytes, whatever the number
@@ -46,16 +48,18 @@
 	avoidUntil clock.Time
 	fallback   fallback
 
-	owned  bool
-	since  clock.Time // start of the ownership
-	bucket *bucket    // nil until the first ask
+	owned      bool
+	since      clock.Time // start of the ownership
+	bucket     *bucket    // nil until the first ask
+	handover   handover
+	handedOver bool // the former owner's tokens are in the bucket, or do not count
 }
 
 // NewNode returns a Node without accounts.
 func NewNode(cfg Config) *Node {
 	return &Node{
 		cfg: cfg, accounts: map[Key]*accountState{}, pending: map[uint32]*accountState{},
-		nextID: cfg.Rand.Uint32(), lastRun: cfg.Start,
+		nextID: cfg.Rand.Uint32(), lastRun: cfg.Start, fleetSize: Size{Known: 1, Reachable: 1},
 	}
 }
 
@@ -70,7 +74,7 @@
 		if s == nil {
 			s = &accountState{shared: &Account{Key: k}, since: now}
 			n.accounts[k] = s
-			s.owned = n.fleet != nil && n.fleet.Owner(k, "") == n.cfg.Self
+			s.owned = n.owner(s, "") == n.cfg.Self
 		}
 		if s.bucket != nil {
 			s.bucket.refill(now, s.limit, n.Share(now))
@@ -94,7 +98,7 @@
 // own accounts now.
 func (n *Node) SetFleet(now clock.Time, f Fleet, changed bool) {
 	n.run(now)
-	n.fleet = f
+	n.fleet, n.fleetSize = f, f.Size()
 	if !changed {
 		return
 	}
@@ -103,48 +107,30 @@
 		if owned == s.owned {
 			continue
 		}
-		s.owned, s.since, s.bucket = owned, now, nil
 		if owned {
 			n.counts[Takeovers]++
-		} else {
-			n.counts[Losses]++
+			s.owned, s.since, s.bucket, s.handedOver = true, now, nil, false
+			n.takeHandover(now, s)
+			continue
 		}
+		n.counts[Losses]++
+		n.handOver(now, s)
+		s.owned, s.bucket = false, nil
 	}
 }
 
-// Informed records that a process that is older than this one has answered.
-func (n *Node) Informed() { n.informed = true }
-
 // run detects pauses. A node that was paused may have been replaced as owner, and starts
 // with empty buckets.
 func (n *Node) run(now clock.Time) {
 	if now.Sub(n.lastRun) > pauseGap {
 		n.counts[Pauses]++
 		for _, s := range n.accounts {
-			s.since, s.bucket = now, nil
+			s.since, s.bucket, s.handedOver = now, nil, true
 		}
 	}
 	n.lastRun = max(n.lastRun, now)
 }
 
-// size returns the hosts that this one reaches, and those that exist as far as is known.
-func (n *Node) size(now clock.Time) (reachable, known int) {
-	reachable, known = 1, 1
-	if n.fleet != nil {
-		reachable, known = n.fleet.Size()
-	}
-	if !n.informed && now.Sub(n.cfg.Start) < learnTime {
-		known = max(known, assumedHosts)
-	}
-	return reachable, known
-}
-
-// Share returns the part of the quotas that the owners among the hosts in reach hand out.
-func (n *Node) Share(now clock.Time) float64 {
-	reachable, known := n.size(now)
-	return min(1, partHeadroom*float64(reachable)/float64(known))
-}
-
 // Request decides on a request for which Account.Try returned Wait.
 func (n *Node) Request(now clock.Time, k Key, w Waiter) {
 	n.run(now)
@@ -194,11 +180,8 @@
 	n.counts[Returns] += int64(expired)
 	ahead := int(s.demand.value(now, demandTime) * aheadTime.Seconds())
 	s.shared.target.Store(int64(ahead))
-	if n.nextID++; n.nextID == 0 {
-		n.nextID++
-	}
 	a := Ask{
-		ID: n.nextID, Account: s.shared.Key, Waiting: len(s.waiting), Ahead: ahead,
+		ID: n.newID(), Account: s.shared.Key, Waiting: len(s.waiting), Ahead: ahead,
 		Seen: int(min(seen, math.MaxUint16)), Returned: min(s.returned+expired, math.MaxUint16),
 	}
 	s.returned, s.repeated = 0, false
@@ -207,15 +190,31 @@
 	n.sendAsk(now, s)
 }
 
+// newID returns an ID that is not 0.
+func (n *Node) newID() uint32 {
+	if n.nextID++; n.nextID == 0 {
+		n.nextID++
+	}
+	return n.nextID
+}
+
+// owner returns the owner of an account in this host's view, or "".
+func (n *Node) owner(s *accountState, avoid string) string {
+	if n.fleet == nil {
+		return ""
+	}
+	return n.fleet.Owner(s.shared.Key, avoid)
+}
+
 // sendAsk sends the pending ask to the owner, or answers it if that is this host.
 func (n *Node) sendAsk(now clock.Time, s *accountState) {
 	avoid := s.avoid
 	if now >= s.avoidUntil {
 		avoid = ""
 	}
-	owner := ""
-	if n.fleet != nil {
-		owner = n.fleet.Owner(s.shared.Key, avoid)
+	owner := n.owner(s, avoid)
+	if owner == n.cfg.Self && !s.owned {
+		owner = n.owner(s, "") // the next in rank does not own the account while the owner is alive
 	}
 	s.askedHost = owner
 	switch owner {
@@ -234,31 +233,41 @@
 func (n *Node) ReceiveAsk(now clock.Time, from string, a Ask) {
 	n.run(now)
 	s := n.accounts[a.Account]
-	if s == nil || n.fleet == nil {
+	if s == nil {
 		return
 	}
 	if a.ReplyTo == "" {
 		a.ReplyTo = from
 	}
-	owner := n.fleet.Owner(a.Account, "")
-	if owner == n.cfg.Self {
-		g := n.grant(now, s, &a, a.ReplyTo)
-		n.cfg.Send(a.ReplyTo, Message{Grant: &g})
+	if s.owned {
+		// A process that knows no other one yet lets the host ask elsewhere, rather than
+		// refuse: it may have the address of a former owner.
+		if g := n.grant(now, s, &a, a.ReplyTo); g.Hold == 0 || !n.unaware(now) {
+			n.cfg.Send(a.ReplyTo, Message{Grant: &g})
+		}
 		return
 	}
-	if a.Hops++; owner != "" && owner != a.ReplyTo && a.Hops <= maxHops {
+	owner := n.owner(s, "")
+	if a.Hops++; owner != "" && owner != n.cfg.Self && owner != a.ReplyTo && a.Hops <= maxHops {
 		n.counts[Forwarded]++
 		n.cfg.Send(owner, Message{Ask: &a})
 	}
 }
 
-// grant takes tokens out of the bucket of an account that this host owns.
-func (n *Node) grant(now clock.Time, s *accountState, a *Ask, from string) Grant {
+// bucket returns the bucket of an account that this host owns.
+func (n *Node) bucket(s *accountState) *bucket {
 	if s.bucket == nil {
-		// Since the start of the ownership nothing has been handed out.
-		s.bucket = &bucket{at: s.since, since: s.since}
+		// Since the start of the ownership nothing has been handed out. A process that has
+		// just started may own accounts only because it has not heard of their owners yet.
+		careful := max(s.since, n.cfg.Start.Add(learnTime)).Add(takeoverTime)
+		s.bucket = &bucket{at: s.since, since: s.since, carefulUntil: careful}
 	}
-	g := s.bucket.grant(now, s.limit, n.Share(now), a, from)
+	return s.bucket
+}
+
+// grant takes tokens out of the bucket of an account that this host owns.
+func (n *Node) grant(now clock.Time, s *accountState, a *Ask, from string) Grant {
+	g := n.bucket(s).grant(now, s.limit, n.Share(now), a, from)
 	n.counts[Grants]++
 	n.counts[Granted] += int64(g.Granted)
 	if g.Granted < a.Waiting {
@@ -333,7 +342,8 @@
 		case age >= giveUpAfter:
 			n.giveUp(now, s)
 		case age >= repeatAfter && !s.repeated:
-			s.repeated = true
+			// Another host passes the ask on if the owner is alive, and knows sooner if not.
+			s.avoid, s.avoidUntil, s.repeated = s.askedHost, now.Add(avoidTime), true
 			s.ask.Seen, s.ask.Returned = 0, 0
 			n.counts[Repeats]++
 			n.sendAsk(now, s)
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -23,9 +23,16 @@
 	// Partial is set in a datagram that carries nothing of the sender's state but From.
 	Partial bool `cbor:"16,keyasint,omitempty"`
 	// UptimeMillis is the age of the sender's process, while it has accounts with a quota.
-	UptimeMillis uint32       `cbor:"17,keyasint,omitempty"`
-	QuotaAsks    []QuotaAsk   `cbor:"18,keyasint,omitempty"`
-	QuotaGrants  []QuotaGrant `cbor:"19,keyasint,omitempty"`
+	UptimeMillis uint32 `cbor:"17,keyasint,omitempty"`
+	// FleetSize is the number of hosts that exist as far as the sender knows; sent with
+	// UptimeMillis.
+	FleetSize   uint16       `cbor:"20,keyasint,omitempty"`
+	QuotaAsks   []QuotaAsk   `cbor:"18,keyasint,omitempty"`
+	QuotaGrants []QuotaGrant `cbor:"19,keyasint,omitempty"`
+	// QuotaHandovers pass tokens on from a former owner of accounts to the next one.
+	QuotaHandovers []QuotaHandover `cbor:"21,keyasint,omitempty"`
+	// Accounts counts the sender's requests by client account since its last heartbeat.
+	Accounts []AccountCount `cbor:"22,keyasint,omitempty"`
 }
 
 // QuotaAsk asks the owner of a client account for tokens of its quota.
@@ -40,6 +47,13 @@
 	Hops     uint8  `cbor:"8,keyasint,omitempty"` // times that it was forwarded
 }
 
+// QuotaHandover passes the tokens of an account on to its next owner.
+type QuotaHandover struct {
+	ID      uint32 `cbor:"1,keyasint"`
+	Account uint64 `cbor:"2,keyasint"` // hash of its name
+	Tokens  uint32 `cbor:"3,keyasint"`
+}
+
 // QuotaGrant answers the QuotaAsk with the same ID.
 type QuotaGrant struct {
 	ID          uint32 `cbor:"1,keyasint"`
@@ -97,6 +111,12 @@
 	Ratio  uint16 `cbor:"4,keyasint,omitempty"` // mean duration in percent of the expected duration; 0 if none was measured
 }
 
+// AccountCount counts requests of one client account.
+type AccountCount struct {
+	Account  uint32 `cbor:"1,keyasint"` // ServerHash of its name
+	Requests uint16 `cbor:"2,keyasint"`
+}
+
 // Crash reports a request that crashed a backend server.
 type Crash struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
@@ -107,8 +127,8 @@
 	AgeMillis   uint32 `cbor:"6,keyasint,omitempty"` // since the crash
 }
 
-// ServerHash returns the FNV-1a hash that stands for a backend server's name in
-// heartbeats.
+// ServerHash returns the FNV-1a hash that stands for the name of a backend server or a
+// client account in heartbeats.
 func ServerHash(name string) uint32 {
 	h := uint32(2166136261)
 	for i := range len(name) {
