Bound the end of a planned stop of entry

Cause: stop_bound is the platform's grace period, after which a process is killed. A stop whose requests last until its end kept 0.3 s for the rest: callers' connections (0.1 s), controllers (no bound: a call to a platform that does not end, or a probe), and the log (0.2 s). One process was still running at the end of its grace period, in a stop of one host after another under load beside a store that was away.

Change: the wait for controllers is bounded by 0.1 s, and 0.5 s are kept, so that each step can take its bound.

The one case itself was not reproduced; read without a finding: the end of feeds, mesh, measures, crashes, pause, transport, the RPC server and client, callers and the listeners, which all end with their context or connection.

--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -63,8 +63,10 @@
 	// 10 s, so that they do not close idle connections first.
 	backendIdleTimeout = 8 * time.Second
 	// shutdownReserve is the part of the stop bound that is kept for closing down in
-	// order.
-	shutdownReserve = 300 * time.Millisecond
+	// order: 100 ms for requests that go on without their caller, controllersTimeout,
+	// 200 ms for the log, and the rest for a busy processor. The platform kills a process
+	// that still runs at the end of the stop bound.
+	shutdownReserve = 500 * time.Millisecond
 	// drainGrace is how long a stopping host keeps running after its last request in
 	// flight, for responses in transit and requests that were just sent.
 	drainGrace = 100 * time.Millisecond
@@ -315,7 +317,7 @@
 	h.stop()
 	cancel()
 	h.close()
-	wg.Wait()
+	h.waitControllers(&wg)
 	if p := h.controllerPanic.Load(); p != nil {
 		return errors.Wrap(p.AsError(), "controller failed")
 	}
