Order the feed by era and revision

A store that comes back from a copy of itself loses its newest changes and gives their revisions out again. Hosts compared revisions alone: a watch whose revision the store had reached again skipped changes, the content of the copy was ignored or taken for current, and a configuration at a lower revision was never decoded.

When the era rises the replica keeps what the older era had changed and the copy lacks. Such a change binds until the new era says otherwise beyond a revision that the copy does not exceed; hosts tell each other that bound and what they hold. The newest configuration version stays whatever its revision. Responses of an older era are ignored and count as failed calls.

--- a/internal/controller/feeds/calls.go
+++ b/internal/controller/feeds/calls.go
@@ -80,7 +80,7 @@
 func (c *Controller) finishCall(ctx context.Context, wg *conc.WaitGroup, err error) {
 	c.callInFlight.Store(false)
 	now := c.cfg.Clock.Now()
-	if err == nil || errors.Is(err, feed.ErrCompacted) || errors.Is(err, feed.ErrUnusable) {
+	if err == nil || errors.Is(err, feed.ErrCompacted) || errors.Is(err, feed.ErrUnusable) || errors.Is(err, errNewEra) {
 		c.recordResponse(now)
 		c.failing.Store(false)
 	}
@@ -104,6 +104,8 @@
 	case errors.Is(err, feed.ErrCompacted):
 		c.log.Info("The platform no longer has the changes since the known revision. The whole content is read again.", zap.Uint64("revision", c.replica.Revision()))
 		c.startCall(ctx, wg, c.readAll)
+	case errors.Is(err, errNewEra):
+		c.startCall(ctx, wg, c.readAll)
 	case ctx.Err() != nil:
 	case errors.Is(err, errWatchUnusable):
 		c.unusable++
@@ -138,21 +140,25 @@
 	if err != nil {
 		return err
 	}
+	if err := c.checkEra(at.Era); errors.Is(err, errOlderEra) {
+		return err
+	}
 	c.enqueue(func() {
 		c.recordResponse(c.cfg.Clock.Now())
-		c.replica.Replace(at, items)
-		c.recordConfirmation(requestedAt)
+		if c.replica.ReplaceAt(at, at.Revision, items) {
+			c.recordConfirmation(requestedAt)
+		}
 		c.publish()
 	})
 	return nil
 }
 
 func (c *Controller) watch(ctx context.Context) error {
-	done := make(chan uint64, 1)
-	if !c.enqueue(func() { done <- c.replica.Revision() }) {
+	done := make(chan feed.Position, 1)
+	if !c.enqueue(func() { done <- c.replica.Position() }) {
 		return errors.New("feeds: work queue full")
 	}
-	var after uint64
+	var after feed.Position
 	select {
 	case after = <-done:
 	case <-ctx.Done():
@@ -169,6 +175,9 @@
 	case err != nil:
 		return err
 	}
+	if err := c.checkEra(to.Era); err != nil {
+		return err
+	}
 	completeAt := requestedAt
 	if len(events) == 0 && c.cfg.Clock.Now().Sub(requestedAt) >= wait {
 		completeAt = requestedAt.Add(wait) // the platform checked for changes until then
@@ -176,7 +185,7 @@
 	c.enqueue(func() {
 		c.recordResponse(c.cfg.Clock.Now())
 		c.gotChanges, c.unusable = len(events) > 0, 0
-		if c.replica.Apply(after, to, events) {
+		if c.replica.ApplyAt(after, to, events) {
 			c.recordConfirmation(completeAt)
 			c.publish()
 		}
@@ -205,11 +214,14 @@
 func (c *Controller) Refresh(ctx context.Context) {
 	done := make(chan struct{})
 	if !c.enqueue(func() {
-		after := c.replica.Revision()
+		after := c.replica.Position()
 		c.background.Go(func() {
 			defer close(done)
 			to, events, err := c.cfg.Source.Watch(ctx, after, 0)
-			if errors.Is(err, feed.ErrUnusable) || errors.Is(err, feed.ErrCompacted) {
+			if err == nil {
+				err = c.checkEra(to.Era)
+			}
+			if errors.Is(err, feed.ErrUnusable) || errors.Is(err, feed.ErrCompacted) || errors.Is(err, errNewEra) {
 				c.platformCalls.Add(1)
 				if err = c.readAll(ctx); err == nil {
 					c.enqueueAndWait(func() {}) // the content that was read is applied
@@ -223,7 +235,7 @@
 			requestedAt := c.cfg.Clock.Now()
 			c.enqueueAndWait(func() {
 				c.recordResponse(requestedAt)
-				if c.replica.Apply(after, to, events) {
+				if c.replica.ApplyAt(after, to, events) {
 					c.recordConfirmation(requestedAt)
 					c.publish()
 				}
--- a/internal/controller/feeds/feeds.go
+++ b/internal/controller/feeds/feeds.go
@@ -54,11 +54,11 @@
 // Content is the typed content of a replica.
 type Content struct {
 	Manifest *manifest.Manifest // nil until a configuration is published
-	// ManifestRevision is the revision of the item that Manifest was decoded from.
-	ManifestRevision uint64
-	Servers          map[string]Registration // by item key
-	Invalid          map[string]uint64       // revisions of the items that are not valid registrations, by item key
-	Out              map[string]bool         // data centres out of service
+	// ManifestPosition is the position of the newest configuration that was decoded.
+	ManifestPosition feed.Position
+	Servers          map[string]Registration  // by item key
+	Invalid          map[string]feed.Position // of the items that are not valid registrations, by item key
+	Out              map[string]bool          // data centres out of service
 }
 
 // Registration is one registered backend server.
@@ -68,7 +68,7 @@
 	Born                               int64         // distinguishes processes that use the same name
 	Leaving                            bool          // finishes its requests in flight and gets no new ones
 	ColdRemaining                      time.Duration // remaining cold-start time at the time of registration
-	Revision                           uint64
+	Position                           feed.Position
 }
 
 // Decoder turns a replica into typed content. Items that cannot be decoded are
@@ -76,6 +76,8 @@
 // previous content.
 type Decoder interface {
 	Decode(r *feed.Replica, previous *Content) *Content
+	// Version returns the version of a published item, or 0 for an item without one.
+	Version(i feed.Item) uint64
 }
 
 // Roster provides the view of the known entry hosts.
@@ -104,14 +106,13 @@
 	work chan func() // executed by Run's goroutine; when full, work is dropped and counted
 
 	// Accessed by several goroutines.
-	changedRevision atomic.Uint64 // of the newest change in the replica
-	revision        atomic.Uint64 // the replica is complete up to it
-	confirmedAt     atomic.Int64  // clock.Time at which the replica was last known to be complete; 0: never
-	respondedAt     atomic.Int64  // clock.Time of the newest known response of the platform to any host; 0: never
-	callInFlight    atomic.Bool
-	failing         atomic.Bool                     // the newest call of this host failed
-	failingHosts    atomic.Pointer[map[string]bool] // addresses of hosts of the data centre whose calls fail; written by Run's goroutine
-	wokenByChange   atomic.Bool                     // the last watch ended with a change, as did the watches of other hosts
+	progress      atomic.Pointer[progress]
+	confirmedAt   atomic.Int64 // clock.Time at which the replica was last known to be complete; 0: never
+	respondedAt   atomic.Int64 // clock.Time of the newest known response of the platform to any host; 0: never
+	callInFlight  atomic.Bool
+	failing       atomic.Bool                     // the newest call of this host failed
+	failingHosts  atomic.Pointer[map[string]bool] // addresses of hosts of the data centre whose calls fail; written by Run's goroutine
+	wokenByChange atomic.Bool                     // the last watch ended with a change, as did the watches of other hosts
 
 	// Used by Run's goroutine only.
 	replica      *feed.Replica
@@ -119,6 +120,7 @@
 	content      *Content
 	background   conc.WaitGroup // calls to peers and the platform, concurrent with Run
 	servers      serverTable
+	eras         eras
 	nextCallAt   clock.Time
 	backoff      time.Duration
 	unusable     int  // watches in a row whose responses could not be used
@@ -136,16 +138,20 @@
 
 	platformCalls, platformCallsFailed, platformResponsesUnusable, pulls, pullsBusy, dropped, panics *expvar.Int
 	replicaBytes, removalBytes                                                                       *expvar.Int // memory of the replica
+	eraChanges, olderEras, heldChanged, heldUnlisted                                                 *expvar.Int
 }
 
 // New returns a controller with an empty replica.
 func New(cfg Config) *Controller {
-	c := &Controller{cfg: cfg, log: cfg.Log.Named("feeds"), work: make(chan func(), 256), replica: feed.New(), content: &Content{}, stopped: make(chan struct{})}
+	c := &Controller{cfg: cfg, log: cfg.Log.Named("feeds"), work: make(chan func(), 256), replica: feed.NewVersioned(cfg.Decoder.Version), content: &Content{}, stopped: make(chan struct{})}
 	c.servers = newServerTable()
 	c.failingHosts.Store(&map[string]bool{})
+	c.progress.Store(&progress{})
 	c.platformCalls, c.platformCallsFailed = cfg.Counters.Int("feeds.platform_calls"), cfg.Counters.Int("feeds.platform_calls_failed")
 	c.platformResponsesUnusable = cfg.Counters.Int("feeds.platform_responses_unusable")
 	c.pulls, c.pullsBusy, c.dropped = cfg.Counters.Int("feeds.pulls"), cfg.Counters.Int("feeds.pulls_busy"), cfg.Counters.Int("feeds.dropped")
+	c.eraChanges, c.olderEras = cfg.Counters.Int("feeds.era_changes"), cfg.Counters.Int("feeds.older_eras")
+	c.heldChanged, c.heldUnlisted = cfg.Counters.Int("feeds.held_changed"), cfg.Counters.Int("feeds.held_unlisted")
 	c.panics = cfg.Counters.Int("feeds.panics")
 	c.replicaBytes, c.removalBytes = cfg.Counters.Int("feeds.replica_bytes"), cfg.Counters.Int("feeds.removal_bytes")
 	return c
@@ -201,6 +207,7 @@
 		case <-ticker.C:
 			c.runWork(func() {
 				c.startDueCall(ctx, &wg)
+				c.releaseUnlisted()
 				c.applyHeldRemovals()
 				c.startPull()
 			})
--- a/internal/controller/feeds/pack.go
+++ b/internal/controller/feeds/pack.go
@@ -21,19 +21,19 @@
 // the configuration. It is not safe for concurrent use.
 type packer struct {
 	key      string
-	revision uint64
+	position feed.Position
 	packed   feed.Packed
 }
 
 func (p *packer) pack(i feed.Item) feed.Packed {
-	if p.key == i.Key && p.revision == i.Revision {
+	if p.key == i.Key && p.position == i.Position() {
 		return p.packed
 	}
 	var out bytes.Buffer
 	w, _ := flate.NewWriter(&out, flate.DefaultCompression) // fails only for an unknown level
 	_, _ = w.Write(i.Value)                                 // a bytes.Buffer never fails
 	_ = w.Close()
-	p.key, p.revision = i.Key, i.Revision
+	p.key, p.position = i.Key, i.Position()
 	p.packed = feed.Packed{Data: out.Bytes(), Digest: xxhash.Sum64(out.Bytes())}
 	return p.packed
 }
--- a/internal/controller/feeds/peers.go
+++ b/internal/controller/feeds/peers.go
@@ -23,10 +23,12 @@
 func (c *Controller) AddToDigest(now clock.Time, b *wire.Heartbeat) { b.Feed = c.position(now) }
 
 func (c *Controller) position(now clock.Time) wire.FeedPosition {
-	m := wire.FeedPosition{Changed: c.changedRevision.Load(), Failing: c.failing.Load()}
-	if m.Changed == 0 {
+	m := wire.FeedPosition{Failing: c.failing.Load()}
+	p := c.progress.Load()
+	if !p.trusted || p.changed == (feed.Position{}) {
 		return m
 	}
+	m.Era, m.Changed, m.Held, m.Copied = p.changed.Era, p.changed.Revision, p.held, p.copied
 	m.AgeMillis = ageMillis(c.elapsedSince(&c.confirmedAt, now))
 	if c.respondedAt.Load() != 0 {
 		m.AnsweredMillis = ageMillis(c.elapsedSince(&c.respondedAt, now))
@@ -46,7 +48,8 @@
 	if v := c.cfg.Roster.View(); b.From.DataCentre == v.Self.DataCentre && (*c.failingHosts.Load())[b.From.Address] != b.Feed.Failing {
 		c.enqueue(func() { c.setFailing(b.From.Address, b.Feed.Failing) })
 	}
-	if b.Feed.Changed == 0 {
+	changed := feed.Position{Era: b.Feed.Era, Revision: b.Feed.Changed}
+	if changed == (feed.Position{}) {
 		return
 	}
 	if b.Feed.AnsweredMillis > 0 {
@@ -55,8 +58,13 @@
 			c.enqueue(func() { c.recordResponse(at) })
 		}
 	}
-	if c.revision.Load() >= b.Feed.Changed {
+	own := c.progress.Load()
+	c.compareEras(own, b)
+	upToDate := !own.position.Before(changed)
+	if upToDate && changed.Era == own.position.Era {
 		c.recordConfirmation(now.Add(-time.Duration(b.Feed.AgeMillis) * time.Millisecond))
+	}
+	if upToDate && (changed.Era < own.position.Era || b.Feed.Held == 0 || b.Feed.Held == own.held) {
 		return
 	}
 	// A relayed digest names a host of another data centre. The local host that
@@ -66,7 +74,7 @@
 		return
 	}
 	from := feed.Peer{
-		Address: b.From.Address, Changed: b.Feed.Changed, Confirmed: now.Add(-time.Duration(b.Feed.AgeMillis) * time.Millisecond),
+		Address: b.From.Address, Changed: changed, Held: b.Feed.Held, Confirmed: now.Add(-time.Duration(b.Feed.AgeMillis) * time.Millisecond),
 	}
 	c.enqueue(func() {
 		c.peers.Announce(from)
@@ -74,6 +82,27 @@
 	})
 }
 
+// compareEras uses what another host knows of the copy from which this host's era began. A
+// new process may use the era's content once a host of the same era holds nothing that it
+// does not know.
+func (c *Controller) compareEras(own *progress, b *wire.Heartbeat) {
+	sameEra := own.position.Revision > 0 && b.Feed.Era == own.position.Era
+	lower := sameEra && b.Feed.Copied < own.copied
+	trust := !own.trusted && sameEra && (b.Feed.Held == 0 || b.Feed.Held == own.held)
+	behind := !own.trusted && own.position.Revision > 0 && b.Feed.Era < own.position.Era
+	if !lower && !trust && !behind {
+		return
+	}
+	c.enqueue(func() {
+		if trust {
+			c.learnFromPeer()
+		}
+		c.eras.behind = c.eras.behind || behind
+		c.replica.LowerCopied(b.Feed.Era, b.Feed.Copied)
+		c.publish()
+	})
+}
+
 // setFailing records whether the calls of another host of the data centre fail. Run's
 // goroutine calls it.
 func (c *Controller) setFailing(address string, failing bool) {
@@ -96,13 +125,13 @@
 	if c.pulling {
 		return
 	}
-	from, ok := c.peers.Pick(c.cfg.Clock.Now(), c.replica.Revision(), c.cfg.Rand)
+	from, ok := c.peers.Pick(c.cfg.Clock.Now(), c.replica.Position(), c.replica.HeldDigest(), c.cfg.Rand)
 	if !ok {
 		return
 	}
 	c.pulling = true
 	c.pulls.Add(1)
-	q := requestToWire(c.transfer.Request(c.replica.Revision()))
+	q := requestToWire(c.transfer.Request(c.replica))
 	q.From = c.cfg.Store.Load().Members.Self.Address
 	c.background.Go(func() {
 		reply := &wire.FeedReply{}
@@ -159,18 +188,22 @@
 	if !done {
 		return
 	}
-	c.transfer.ApplyTo(c.replica)
+	all := c.transfer.ApplyTo(c.replica)
+	if all {
+		c.peers.Learned(now, from.Address, reply.Era, reply.Held)
+		c.learnFromPeer()
+	}
 	c.recordConfirmation(c.confirmedByPeers)
 	c.confirmedByPeers = 0
 	c.publish()
-	if c.replica.Revision() < from.Changed {
+	if c.replica.Position().Before(from.Changed) || !all {
 		c.peers.Failed(now, from.Address) // its process has restarted and has less than it announced
 	}
 }
 
 // replyFromWire converts a reply. One from a host that does not know pages is complete.
 func replyFromWire(w *wire.FeedReply) feed.Reply {
-	reply := feed.Reply{Revision: w.Revision, Full: w.Full, Key: w.Key, Part: feed.Part(w.Part), More: w.More, Items: make([]feed.Item, len(w.Items))}
+	reply := feed.Reply{Era: w.Era, Copied: w.Copied, Held: w.Held, Revision: w.Revision, Full: w.Full, Key: w.Key, Part: feed.Part(w.Part), More: w.More, Items: make([]feed.Item, len(w.Items))}
 	for i, item := range w.Items {
 		reply.Items[i] = feed.Item(item)
 	}
@@ -183,7 +216,7 @@
 func requestToWire(q feed.Request) *wire.FeedRequest {
 	return &wire.FeedRequest{
 		Header: wire.Header{Version: wire.Version}, Paged: true,
-		After: q.After, Full: q.Full, Key: q.Key, Part: wire.FeedPart(q.Part),
+		After: q.After.Revision, AfterEra: q.After.Era, Eras: q.Eras, Held: q.Held, Full: q.Full, Key: q.Key, Part: wire.FeedPart(q.Part),
 	}
 }
 
@@ -198,7 +231,11 @@
 			h.c.serve(q, reply)
 			return
 		}
-		items, full := h.c.replica.Since(q.After)
+		after := q.After
+		if h.c.replica.Position().Era != q.AfterEra {
+			after = 0
+		}
+		items, full := h.c.replica.Since(after)
 		reply.Revision, reply.Full = h.c.replica.Revision(), full
 		reply.Items = itemsToWire(items)
 	})
@@ -215,12 +252,15 @@
 
 // serve fills in a page. Run's goroutine calls it.
 func (c *Controller) serve(q *wire.FeedRequest, out *wire.FeedReply) {
-	reply := c.replica.Serve(feed.Request{After: q.After, Full: q.Full, Key: q.Key, Part: feed.Part(q.Part)}, c.packer.pack)
+	reply := c.replica.Serve(feed.Request{
+		After: feed.Position{Era: q.AfterEra, Revision: q.After}, Full: q.Full, Key: q.Key, Part: feed.Part(q.Part), Eras: q.Eras, Held: q.Held,
+	}, c.packer.pack)
 	out.Paged = true
 	if !c.receivers.Admit(c.cfg.Clock.Now(), q.From, &reply) {
 		out.Busy = true
 		return
 	}
+	out.Era, out.Copied, out.Held = reply.Era, reply.Copied, reply.Held
 	out.Revision, out.Full, out.Key, out.More = reply.Revision, reply.Full, reply.Key, reply.More
 	out.Part, out.Items = wire.FeedPart(reply.Part), itemsToWire(reply.Items)
 }
--- a/internal/controller/feeds/servers.go
+++ b/internal/controller/feeds/servers.go
@@ -26,19 +26,18 @@
 
 // publish decodes the replica and publishes the manifest and the backend servers.
 func (c *Controller) publish() {
-	c.changedRevision.Store(c.replica.Changed())
-	c.revision.Store(c.replica.Revision())
+	now := c.cfg.Clock.Now()
+	trusted := c.recordProgress(now)
 	items, removals := c.replica.Bytes()
 	c.replicaBytes.Set(int64(items))
 	c.removalBytes.Set(int64(removals))
-	if c.replica.Changed() == 0 {
+	if !trusted || c.replica.Changed() == 0 && c.replica.HeldDigest() == 0 {
 		return
 	}
 	next := c.cfg.Decoder.Decode(c.replica, c.content)
 	if next == c.content && !c.servers.dirty {
 		return
 	}
-	now := c.cfg.Clock.Now()
 	old := c.content.Manifest
 	newManifest := next.Manifest != nil && (old == nil || old.File.Revision < next.Manifest.File.Revision)
 	if newManifest {
@@ -79,7 +78,7 @@
 	for key, r := range next.Servers {
 		delete(t.held, key)
 		old := t.byKey[key]
-		if old != nil && old.Revision == r.Revision {
+		if old != nil && old.Era == r.Position.Era && old.Revision == r.Position.Revision {
 			continue
 		}
 		t.byKey[key] = c.buildServer(now, r, old)
@@ -107,7 +106,7 @@
 func (c *Controller) buildServer(now clock.Time, r Registration, old *state.Server) *state.Server {
 	s := &state.Server{
 		BackendServer: manifest.BackendServer{Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots, Leaving: r.Leaving},
-		Service:       r.Service, Born: r.Born, Revision: r.Revision, Load: &load.State{},
+		Service:       r.Service, Born: r.Born, Era: r.Position.Era, Revision: r.Position.Revision, Load: &load.State{},
 		Local: r.DataCentre == c.cfg.Store.Load().Members.Self.DataCentre,
 	}
 	sameProcess := old != nil && old.Born == r.Born && old.Address == r.Address
--- a/internal/controller/feeds/spread_test.go
+++ b/internal/controller/feeds/spread_test.go
@@ -113,7 +113,7 @@
 		if to != h {
 			s.send(h, to, heartbeatBytes, func() {
 				if to.replica.Revision() < changed {
-					to.peers.Announce(feed.Peer{Address: h.name, Changed: changed, Confirmed: s.clock()})
+					to.peers.Announce(feed.Peer{Address: h.name, Changed: feed.Position{Revision: changed}, Confirmed: s.clock()})
 					s.pull(to)
 				}
 			})
@@ -125,7 +125,7 @@
 	if h.pulling {
 		return
 	}
-	peer, ok := h.peers.Pick(s.clock(), h.replica.Revision(), s.rng)
+	peer, ok := h.peers.Pick(s.clock(), h.replica.Position(), 0, s.rng)
 	if !ok {
 		return
 	}
@@ -144,7 +144,7 @@
 			s.pull(h)
 		}
 	})
-	q := h.transfer.Request(h.replica.Revision())
+	q := h.transfer.Request(h.replica)
 	s.send(h, from, rpcOverheadBytes, func() {
 		reply := from.replica.Serve(q, from.packer.pack)
 		busy := !from.receivers.Admit(s.clock(), h.name, &reply)
--- a/internal/controller/feeds/watch_test.go
+++ b/internal/controller/feeds/watch_test.go
@@ -26,27 +26,29 @@
 	changeAt time.Time
 }
 
-func (*scriptedSource) Read(context.Context) (uint64, []feed.Item, error) {
-	return 1, []feed.Item{{Key: "a", Revision: 1}}, nil
+func (*scriptedSource) Read(context.Context) (feed.Position, []feed.Item, error) {
+	return feed.Position{Revision: 1}, []feed.Item{{Key: "a", Revision: 1}}, nil
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, after uint64, wait time.Duration) (uint64, []feed.Item, error) {
+func (s *scriptedSource) Watch(ctx context.Context, after feed.Position, wait time.Duration) (feed.Position, []feed.Item, error) {
 	s.mu.Lock()
 	s.waits = append(s.waits, wait)
 	s.mu.Unlock()
 	until := time.Until(s.changeAt)
-	if after >= 2 || until > wait {
+	if after.Revision >= 2 || until > wait {
 		time.Sleep(wait)
 		return after, nil, nil
 	}
 	time.Sleep(until)
-	return 2, []feed.Item{{Key: "a", Revision: 2}}, nil
+	return feed.Position{Revision: 2}, []feed.Item{{Key: "a", Revision: 2}}, nil
 }
 
 type emptyDecoder struct{}
 
 func (emptyDecoder) Decode(*feed.Replica, *Content) *Content { return &Content{} }
 
+func (emptyDecoder) Version(feed.Item) uint64 { return 0 }
+
 type fixedRoster struct{ view *roster.View }
 
 func (r fixedRoster) View() *roster.View { return r.view }
@@ -113,26 +115,26 @@
 	return 1 + uint64(max(0, min(n, s.changes)))
 }
 
-func (s *burstSource) Read(context.Context) (uint64, []feed.Item, error) {
+func (s *burstSource) Read(context.Context) (feed.Position, []feed.Item, error) {
 	s.calls.Add(1)
 	at := s.revision()
 	time.Sleep(50 * time.Millisecond)
-	return at, []feed.Item{{Key: "op/config", Revision: at}}, nil
+	return feed.Position{Revision: at}, []feed.Item{{Key: "op/config", Revision: at}}, nil
 }
 
-func (s *burstSource) Watch(_ context.Context, after uint64, wait time.Duration) (uint64, []feed.Item, error) {
+func (s *burstSource) Watch(_ context.Context, after feed.Position, wait time.Duration) (feed.Position, []feed.Item, error) {
 	s.calls.Add(1)
-	for end := time.Now().Add(wait); s.revision() == after && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(wait); s.revision() == after.Revision && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
 	time.Sleep(20 * time.Millisecond)
 	to := s.revision()
 	switch {
-	case to-after > s.maxEvents:
-		return 0, nil, feed.ErrUnusable
-	case to == after:
-		return to, nil, nil
+	case to-after.Revision > s.maxEvents:
+		return feed.Position{}, nil, feed.ErrUnusable
+	case to == after.Revision:
+		return feed.Position{Revision: to}, nil, nil
 	}
-	return to, []feed.Item{{Key: "op/config", Revision: to}}, nil
+	return feed.Position{Revision: to}, []feed.Item{{Key: "op/config", Revision: to}}, nil
 }
 
 // TestUnusableWatch guards against a watch whose response cannot be used, for example
@@ -166,8 +168,8 @@
 					synctest.Wait()
 					published = append(published, s.revision())
 					due := step - int(appliedWithin/(100*time.Millisecond))
-					if due >= 0 && c.revision.Load() < published[due] {
-						t.Errorf("revision %d after %v, %d was published %v before", c.revision.Load(), time.Since(s.start), published[due], appliedWithin)
+					if due >= 0 && c.progress.Load().position.Revision < published[due] {
+						t.Errorf("revision %d after %v, %d was published %v before", c.progress.Load().position.Revision, time.Since(s.start), published[due], appliedWithin)
 						break
 					}
 				}
@@ -209,7 +211,7 @@
 		close(busy)
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
-		is.True(c.revision.Load() >= s.revision()-1)
+		is.True(c.progress.Load().position.Revision >= s.revision()-1)
 		cancel()
 		<-done
 	})
--- a/internal/feed/availability.go
+++ b/internal/feed/availability.go
@@ -38,6 +38,10 @@
 	a.lastResponse = t
 }
 
+// RecordEra records that the platform has come back from a copy, noticed at t. Registrations
+// that the copy lacks are renewed as after an outage.
+func (a *PlatformAvailability) RecordEra(t clock.Time) { a.recoveredAt = max(a.recoveredAt, t) }
+
 // LastResponse returns the time of the newest response, or 0.
 func (a *PlatformAvailability) LastResponse() clock.Time { return a.lastResponse }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -16,20 +16,31 @@
 	Value    []byte // nil when Gone
 	Revision uint64 // of the last change, assigned by the platform
 	Gone     bool   // the item was removed at Revision
+	Era      uint64 // the oldest in which the change can have been made, or the one that lists it
+	Copied   bool   // of a held change: the era in which it was made is not known, Era is one that listed it, or lacked it if Gone
+	Settled  bool   // in transfers: a held change that no longer binds
 }
 
 func (i *Item) bytes() int { return len(i.Key) + len(i.Value) }
 
+// Position returns the position of the last change.
+func (i *Item) Position() Position { return Position{i.Era, i.Revision} }
+
 // Replica is a host's copy of the published items. It contains every change up to
-// Revision. Of each item it keeps the newest change only, since values may be large and
-// change often.
+// Position. Of each item it keeps the newest change only, since values may be large and
+// change often. When the platform comes back from a copy, changes that the copy lacks are
+// held: they bind until the new era says otherwise.
 type Replica struct {
-	items        map[string]Item
-	bytes        int      // of the keys and values of items
-	removals     removals // older changes must not undo them, and other hosts may lack them
-	revision     uint64   // the replica contains every change up to it
-	newestChange uint64   // revision of the newest change in the replica
-	historyStart uint64   // removals after this revision are known
+	era          uint64
+	copied       uint64 // changes of the era after this revision were made in it, others may come from the copy
+	held         heldChanges
+	version      func(Item) uint64 // nil: no item has a version
+	items        map[string]Item   // of the era
+	bytes        int               // of the keys and values of items
+	removals     removals          // older changes must not undo them, and other hosts may lack them
+	revision     uint64            // the replica contains every change up to it
+	newestChange uint64            // revision of the newest change in the replica
+	historyStart uint64            // removals after this revision are known
 	gaps         []gap
 }
 
@@ -54,12 +65,25 @@
 }
 
 // New returns an empty replica.
-func New() *Replica { return &Replica{items: map[string]Item{}, removals: newRemovals()} }
+func New() *Replica {
+	return &Replica{items: map[string]Item{}, removals: newRemovals(), held: newHeldChanges()}
+}
+
+// NewVersioned returns an empty replica. version returns the version of an item, or 0 for
+// an item without one. Over a change of era the newest version of an item stays.
+func NewVersioned(version func(Item) uint64) *Replica {
+	r := New()
+	r.version = version
+	return r
+}
+
+// Position returns the position up to which the replica is complete.
+func (r *Replica) Position() Position { return Position{r.era, r.revision} }
 
 // Revision returns the revision up to which the replica is complete.
 func (r *Replica) Revision() uint64 { return r.revision }
 
-// Changed returns the revision of the newest change in the replica.
+// Changed returns the revision of the newest change of the era in the replica.
 func (r *Replica) Changed() uint64 { return r.newestChange }
 
 // Bytes returns the bytes of the keys and values of the items, and of the removals that
@@ -71,7 +95,18 @@
 
 // Get returns the item of a key.
 func (r *Replica) Get(key string) (Item, bool) {
+	if i, ok := r.held.get(key); ok {
+		return i, !i.Gone
+	}
+	return r.listed(key)
+}
+
+// listed returns the item of a key as the era lists it.
+func (r *Replica) listed(key string) (Item, bool) {
 	i, ok := r.items[key]
+	if ok && i.Revision > r.copied {
+		i.Era = r.era // its oldest possible era was found before the bound of the copy was lowered
+	}
 	return i, ok
 }
 
@@ -79,17 +114,45 @@
 func (r *Replica) Each(prefix string, yield func(Item)) {
 	keys := make([]string, 0, len(r.items))
 	for k := range r.items {
-		if strings.HasPrefix(k, prefix) {
+		if _, held := r.held.get(k); !held && strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	for k, c := range r.held.byKey {
+		if !c.settled && !c.item.Gone && strings.HasPrefix(k, prefix) {
 			keys = append(keys, k)
 		}
 	}
 	slices.Sort(keys)
 	for _, k := range keys {
-		yield(r.items[k])
+		i, _ := r.Get(k)
+		yield(i)
 	}
 }
 
-// Apply applies events, all changes after revision `after` up to revision `to`. It
+// ApplyAt applies changes like Apply. It returns false and changes nothing if they are not
+// of the era of the replica.
+func (r *Replica) ApplyAt(after, to Position, events []Item) bool {
+	return after.Era == r.era && to.Era == r.era && r.Apply(after.Revision, to.Revision, events)
+}
+
+// ReplaceAt replaces the content like Replace. Content of an older era is ignored; of a
+// newer one, what it lacks is held. copied is a revision that the copy from which the era
+// began does not exceed. It reports whether the content was used.
+func (r *Replica) ReplaceAt(at Position, copied uint64, content []Item) bool {
+	switch {
+	case at.Before(r.Position()):
+		return false
+	case at.Era > r.era:
+		r.enterEra(at, copied, content)
+	default:
+		r.Replace(at.Revision, content)
+		r.LowerCopied(at.Era, copied)
+	}
+	return true
+}
+
+// Apply applies events, all changes of the era after revision `after` up to revision `to`. It
 // returns false and changes nothing if the replica lacks earlier changes.
 func (r *Replica) Apply(after, to uint64, events []Item) bool {
 	if !r.Complete() || after > r.revision {
@@ -107,7 +170,7 @@
 }
 
 // Replace replaces the content of the replica by the whole content as of revision
-// at. Items missing from it are removed, unless the replica has a newer change of
+// at of the era. Items missing from it are removed, unless the replica has a newer change of
 // them.
 func (r *Replica) Replace(at uint64, content []Item) {
 	if at < r.revision {
@@ -121,7 +184,7 @@
 	}
 	for key, old := range r.items {
 		if !listed[key] && old.Revision <= at {
-			r.set(Item{Key: key, Revision: at, Gone: true})
+			r.set(Item{Key: key, Era: r.era, Revision: at, Gone: true})
 		}
 	}
 	r.completeUpTo(at)
@@ -149,16 +212,18 @@
 		r.removals.delete(i.Key)
 	}
 	r.newestChange = max(r.newestChange, i.Revision)
+	r.settle(i.Key)
 }
 
-// Since returns the newest change of each item that changed after the given revision. If
+// Since returns the newest change of each item that changed after the given revision of the
+// era. If
 // full is true, items is the whole content as of Revision instead.
 func (r *Replica) Since(after uint64) (items []Item, full bool) {
 	full = after == 0 || after < r.historyStart || r.inGap(after)
 	if !full {
 		for key, revision := range r.removals.revisions {
 			if revision > after {
-				items = append(items, Item{Key: key, Revision: revision, Gone: true})
+				items = append(items, Item{Key: key, Era: r.era, Revision: revision, Gone: true})
 			}
 		}
 	}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -38,12 +38,13 @@
 // cost and can fail, hang, or be refused. Errors other than ErrCompacted and ErrUnusable
 // carry no information about the content.
 type Source interface {
-	// Read returns the whole content, complete as of revision at. Items that
-	// change during the call may be newer.
-	Read(ctx context.Context) (at uint64, items []Item, err error)
-	// Watch waits up to wait for changes after the given revision and returns those
-	// up to revision to. It is not an error if there are none within that time.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (to uint64, events []Item, err error)
+	// Read returns the whole content, complete as of position at. Items that
+	// change during the call may be newer. All are of one era.
+	Read(ctx context.Context) (at Position, items []Item, err error)
+	// Watch waits up to wait for changes after the given position and returns those
+	// up to position to. It is not an error if there are none within that time. If the
+	// platform has another era than after, the events are not those after it.
+	Watch(ctx context.Context, after Position, wait time.Duration) (to Position, events []Item, err error)
 }
 
 // Timing of the watches of the platform.
--- a/internal/feed/spread.go
+++ b/internal/feed/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -60,7 +61,8 @@
 // Peer is a host whose replica has changes that this one lacks.
 type Peer struct {
 	Address   string
-	Changed   uint64     // revision of its newest change
+	Changed   Position   // of its newest change
+	Held      uint64     // digest of its held changes
 	Confirmed clock.Time // its replica was complete at that time
 	notBefore clock.Time // it is not asked before
 }
@@ -68,7 +70,51 @@
 // Peers are the hosts from which missing changes can be fetched. It is not safe for
 // concurrent use.
 type Peers struct {
-	newestFirst []Peer
+	newestFirst   []Peer
+	learned       []uint64 // digests of held changes that were fetched in learnedEra, the newest last
+	learnedEra    uint64
+	heldNotBefore clock.Time // held changes alone are not fetched before
+}
+
+const (
+	// maxLearned bounds the digests of held changes that a host remembers as fetched.
+	maxLearned = 64
+	// heldDelay is the delay between two requests for held changes alone. They may contain
+	// the configuration, and change with each entry that is written again.
+	heldDelay = 250 * time.Millisecond
+)
+
+// Learned records that a host's held changes with a digest were fetched in an era.
+func (s *Peers) Learned(now clock.Time, address string, era, digest uint64) {
+	if era != s.learnedEra {
+		s.learned, s.learnedEra = nil, era
+	}
+	for i := range s.newestFirst {
+		if s.newestFirst[i].Address == address {
+			s.newestFirst[i].Held = digest
+		}
+	}
+	if digest == 0 {
+		return
+	}
+	s.heldNotBefore = now.Add(heldDelay)
+	if slices.Contains(s.learned, digest) {
+		return
+	}
+	if len(s.learned) >= maxLearned {
+		s.learned = slices.Delete(s.learned, 0, 1)
+	}
+	s.learned = append(s.learned, digest)
+}
+
+// ahead reports whether a peer has changes that a replica lacks, or held changes that it may
+// lack. The replica is complete up to a position and has held changes with a digest.
+func (s *Peers) ahead(now clock.Time, p *Peer, position Position, held uint64) bool {
+	if position.Before(p.Changed) {
+		return true
+	}
+	learned := p.Held == held || s.learnedEra == position.Era && slices.Contains(s.learned, p.Held)
+	return p.Changed.Era == position.Era && p.Held != 0 && !learned && !now.Before(s.heldNotBefore)
 }
 
 // Announce records that a host has changes up to a revision.
@@ -88,15 +134,16 @@
 	s.newestFirst[0] = p
 }
 
-// Pick returns a host that has changes after the revision up to which this replica is
-// complete: a random one of those with the newest change, so that a new process does not
-// start from the state of a host that lags behind.
-func (s *Peers) Pick(now clock.Time, revision uint64, r *rand.Rand) (Peer, bool) {
+// Pick returns a host that has changes after the position up to which this replica is
+// complete, or held changes that it may lack: a random one of those with the newest change,
+// so that a new process does not start from the state of a host that lags behind. held is
+// the digest of this replica's held changes.
+func (s *Peers) Pick(now clock.Time, position Position, held uint64, r *rand.Rand) (Peer, bool) {
 	var picked Peer
 	n := 0
 	for _, p := range s.newestFirst {
 		switch {
-		case p.Changed <= revision || now.Before(p.notBefore) || n > 0 && p.Changed < picked.Changed:
+		case !s.ahead(now, &p, position, held) || now.Before(p.notBefore) || n > 0 && p.Changed.Before(picked.Changed):
 		case n > 0 && p.Changed == picked.Changed:
 			if n++; r.IntN(n) == 0 {
 				picked = p
--- a/internal/feed/transfer.go
+++ b/internal/feed/transfer.go
@@ -29,6 +29,7 @@
 	Size     int    // of the whole packed value
 	Offset   int
 	Data     []byte
+	Era      uint64 // of Revision
 }
 
 // Packed is the compressed value of a large item.
@@ -39,15 +40,20 @@
 
 // Request asks another host for what a replica lacks.
 type Request struct {
-	After uint64 // revision up to which the replica is complete; 0: it is empty
-	Full  bool   // the replies so far list the whole content
-	Key   string // everything up to this key has arrived
-	Part  Part   // of the next item, without Data: Offset bytes have arrived; zero: none
+	After Position // up to which the replica is complete; revision 0: it is empty
+	Full  bool     // the replies so far list the whole content
+	Key   string   // everything up to this key has arrived
+	Part  Part     // of the next item, without Data: Offset bytes have arrived; zero: none
+	Eras  bool     // the host knows eras; without it, no held changes are sent
+	Held  uint64   // digest of the held changes of the replica
 }
 
 // Reply contains a page of the changes after Request.After, or of the whole content, in
-// the order of keys.
+// the order of keys. Held changes come first if the digests of the hosts differ.
 type Reply struct {
+	Era      uint64
+	Copied   uint64 // a revision that the copy from which the era began does not exceed
+	Held     uint64 // digest of the held changes of the replica
 	Revision uint64 // the items are complete up to this revision
 	Full     bool   // the page is one of the whole content
 	Key      string // the page begins after this key
@@ -58,11 +64,18 @@
 
 // Serve returns the reply to a request. pack compresses the value of a large item.
 func (r *Replica) Serve(q Request, pack func(Item) Packed) Reply {
-	items, full := r.Since(q.After)
+	after := q.After.Revision
+	if q.After.Era != r.era {
+		after = 0
+	}
+	items, full := r.Since(after)
 	if full != q.Full {
 		q.Key, q.Part = "", Part{}
 	}
-	reply := Reply{Revision: r.revision, Full: full, Key: q.Key}
+	if q.Eras && q.Held != r.held.digest {
+		items = append(r.held.items(), items...)
+	}
+	reply := Reply{Era: r.era, Copied: r.copied, Held: r.held.digest, Revision: r.revision, Full: full, Key: q.Key}
 	size := 0
 	for _, i := range items {
 		switch {
@@ -83,7 +96,7 @@
 
 // partOf returns the part of an item that follows the received one.
 func partOf(i Item, packed Packed, received Part) Part {
-	p := Part{Key: i.Key, Revision: i.Revision, Digest: packed.Digest, Size: len(packed.Data)}
+	p := Part{Key: i.Key, Era: i.Era, Revision: i.Revision, Digest: packed.Digest, Size: len(packed.Data)}
 	if received.continues(p) && received.Offset < p.Size {
 		p.Offset = received.Offset
 	}
@@ -93,7 +106,7 @@
 
 // continues reports whether both are parts of the same packed value.
 func (p Part) continues(other Part) bool {
-	return p.Key == other.Key && p.Revision == other.Revision && p.Digest == other.Digest && p.Size == other.Size
+	return p.Key == other.Key && p.Era == other.Era && p.Revision == other.Revision && p.Digest == other.Digest && p.Size == other.Size
 }
 
 // NewestByKey returns the newest change of each key, in the order of keys.
@@ -114,22 +127,28 @@
 
 // Transfer collects the replies of one or several hosts to what a replica lacks. Their
 // pages need not have the same revision: the collected items are complete up to the
-// lowest. The zero value is ready for use.
+// lowest. They have the same era. The zero value is ready for use.
 type Transfer struct {
-	request  Request
-	items    []Item
-	bytes    int    // memory of items
-	revision uint64 // lowest revision of the replies; 0: none
-	data     []byte // of request.Part
+	request      Request
+	items        []Item
+	bytes        int    // memory of items
+	era          uint64 // of the replies
+	revision     uint64 // lowest revision of the replies; 0: none
+	heldRevision uint64 // highest revision of the replies with held changes
+	copied       uint64 // lowest bound of the copy
+	data         []byte // of request.Part
 }
 
-var errTransfer = errors.New("feed: reply does not continue the transfer")
+var (
+	errTransfer = errors.New("feed: reply does not continue the transfer")
+	errOlderEra = errors.New("feed: the host has an older era of the platform")
+)
 
-// Request returns the next request of a replica that is complete up to a revision. A
-// transfer that began at another revision begins again.
-func (t *Transfer) Request(after uint64) Request {
-	if t.request.After != after {
-		*t = Transfer{request: Request{After: after}}
+// Request returns the next request of a replica. A transfer that began at another position
+// begins again.
+func (t *Transfer) Request(r *Replica) Request {
+	if after := r.Position(); !t.request.Eras || t.request.After != after {
+		*t = Transfer{request: Request{After: after, Eras: true, Held: r.HeldDigest()}}
 	}
 	return t.request
 }
@@ -137,35 +156,55 @@
 // Accept adds a reply. It reports whether the transfer is complete. unpack reverses pack
 // of Serve. After an error the transfer begins again.
 func (t *Transfer) Accept(reply Reply, unpack func([]byte) ([]byte, error)) (done bool, err error) {
-	if reply.Revision == 0 {
-		return false, t.fail(errTransfer) // the host has no content yet
-	}
-	if reply.Full != t.request.Full || reply.Key != t.request.Key {
-		if reply.Key != "" {
-			return false, t.fail(errTransfer)
-		}
-		*t = Transfer{request: Request{After: t.request.After, Full: reply.Full}} // the host has other changes, or only the whole content
+	if err := t.check(&reply); err != nil {
+		return false, t.fail(err)
 	}
 	if t.revision == 0 || reply.Revision < t.revision {
 		t.revision = reply.Revision
 	}
+	if t.copied == 0 || reply.Copied < t.copied {
+		t.copied = reply.Copied
+	}
+	t.era = reply.Era
 	for _, i := range reply.Items {
 		if i.Key <= t.request.Key {
 			return false, t.fail(errTransfer)
 		}
-		if err := t.add(i); err != nil {
+		if err := t.add(i, reply.Revision); err != nil {
 			return false, t.fail(err)
 		}
 	}
 	if reply.Part.Size > 0 {
-		if err := t.acceptPart(reply.Part, unpack); err != nil {
+		if err := t.acceptPart(reply.Part, reply.Revision, unpack); err != nil {
 			return false, t.fail(err)
 		}
 	}
 	return !reply.More, nil
 }
 
-func (t *Transfer) add(i Item) error {
+// check checks whether a reply continues the transfer. A reply that begins a list anew is
+// accepted: its host has other changes, or only the whole content.
+func (t *Transfer) check(reply *Reply) error {
+	switch {
+	case reply.Revision == 0:
+		return errTransfer // the host has no content yet
+	case reply.Era < t.request.After.Era:
+		return errOlderEra
+	case reply.Era != t.request.After.Era && !reply.Full, t.revision > 0 && reply.Era != t.era && reply.Key != "":
+		return errTransfer
+	case reply.Full == t.request.Full && reply.Key == t.request.Key && (t.revision == 0 || reply.Era == t.era):
+		return nil
+	case reply.Key != "":
+		return errTransfer
+	}
+	*t = Transfer{request: Request{After: t.request.After, Full: reply.Full, Eras: true, Held: t.request.Held}}
+	return nil
+}
+
+func (t *Transfer) add(i Item, revision uint64) error {
+	if strings.HasPrefix(i.Key, heldPrefix) {
+		t.heldRevision = max(t.heldRevision, revision)
+	}
 	if t.bytes += i.bytes() + itemMemoryBytes; t.bytes > MaxContentBytes {
 		return ErrContentTooLarge
 	}
@@ -177,9 +216,9 @@
 	return nil
 }
 
-func (t *Transfer) acceptPart(p Part, unpack func([]byte) ([]byte, error)) error {
+func (t *Transfer) acceptPart(p Part, revision uint64, unpack func([]byte) ([]byte, error)) error {
 	if !t.request.Part.continues(p) {
-		t.request.Part, t.data = Part{Key: p.Key, Revision: p.Revision, Digest: p.Digest, Size: p.Size}, nil
+		t.request.Part, t.data = Part{Key: p.Key, Era: p.Era, Revision: p.Revision, Digest: p.Digest, Size: p.Size}, nil
 	}
 	if p.Key <= t.request.Key || p.Size > maxPackedBytes || p.Offset != len(t.data) || len(p.Data) == 0 || p.Offset+len(p.Data) > p.Size {
 		return errTransfer
@@ -193,7 +232,7 @@
 	if err != nil {
 		return err
 	}
-	return t.add(Item{Key: p.Key, Value: value, Revision: p.Revision})
+	return t.add(Item{Key: p.Key, Value: value, Era: p.Era, Revision: p.Revision}, revision)
 }
 
 func (t *Transfer) fail(err error) error {
@@ -202,12 +241,22 @@
 }
 
 // ApplyTo applies a complete transfer to the replica that it was requested for, and ends
-// it.
-func (t *Transfer) ApplyTo(r *Replica) {
+// it. It reports whether the replica has all that the transfer contained.
+func (t *Transfer) ApplyTo(r *Replica) (all bool) {
+	n := 0 // held changes come first, in the order of keys
+	for ; n < len(t.items) && strings.HasPrefix(t.items[n].Key, heldPrefix); n++ {
+		t.items[n].Key = strings.TrimPrefix(t.items[n].Key, heldPrefix)
+	}
+	at := Position{t.era, t.revision}
 	if t.request.Full {
-		r.Replace(t.revision, t.items)
+		r.ReplaceAt(at, t.copied, t.items[n:])
 	} else {
-		r.Apply(t.request.After, t.revision, t.items)
+		r.ApplyAt(t.request.After, at, t.items[n:])
+	}
+	if t.era == r.era {
+		r.LowerCopied(t.era, t.copied)
+		all = r.addHeld(t.heldRevision, t.items[:n])
 	}
 	*t = Transfer{}
+	return all
 }
--- a/internal/feed/transfer_test.go
+++ b/internal/feed/transfer_test.go
@@ -64,7 +64,7 @@
 			if !h.Complete() || h.Revision() <= r.Revision() {
 				continue
 			}
-			reply := h.Serve(transfer.Request(r.Revision()), packPlain)
+			reply := h.Serve(transfer.Request(r), packPlain)
 			if rng.IntN(5) == 0 {
 				continue // lost
 			}
@@ -86,7 +86,7 @@
 			if n > 1000 {
 				rt.Fatal("the transfer does not end")
 			}
-			done, err := transfer.Accept(last.Serve(transfer.Request(r.Revision()), packPlain), unpackPlain)
+			done, err := transfer.Accept(last.Serve(transfer.Request(r), packPlain), unpackPlain)
 			if err != nil {
 				rt.Fatal(err)
 			}
@@ -125,10 +125,12 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var transfer Transfer
-			transfer.Request(2)
+			r := New()
+			r.Replace(2, nil)
+			transfer.Request(r)
 			_, err := transfer.Accept(reply, unpackPlain)
 			is.True(err != nil)
-			is.Equal(transfer.Request(2), Request{After: 2}) // it begins again
+			is.Equal(transfer.Request(r), Request{After: Position{0, 2}, Eras: true}) // it begins again
 		})
 	}
 }
@@ -151,14 +153,16 @@
 			var transfer Transfer
 			var err error
 			received := 0
+			r := New()
+			r.Replace(1, nil)
 			for n := 0; err == nil && received < 4*MaxContentBytes; n++ {
-				reply := page(transfer.Request(1), fmt.Sprintf("k%09d", n))
+				reply := page(transfer.Request(r), fmt.Sprintf("k%09d", n))
 				_, err = transfer.Accept(reply, func([]byte) ([]byte, error) { return large, nil })
 				received += len(large)
 			}
 			is.True(errors.Is(err, ErrContentTooLarge))
 			is.True(received <= MaxContentBytes+len(large))
-			is.Equal(transfer.Request(1), Request{After: 1}) // it begins again
+			is.Equal(transfer.Request(r), Request{After: Position{0, 1}, Eras: true}) // it begins again
 		})
 	}
 }
@@ -171,22 +175,22 @@
 	var s Peers
 	now := clock.Time(1)
 	for n := range uint64(20) {
-		s.Announce(Peer{Address: fmt.Sprint(n), Changed: 5})
+		s.Announce(Peer{Address: fmt.Sprint(n), Changed: Position{0, 5}})
 	}
 	is.Equal(len(s.newestFirst), maxPeers)
-	_, ok := s.Pick(now, 5, rng)
+	_, ok := s.Pick(now, Position{0, 5}, 0, rng)
 	is.True(!ok) // none is ahead
 	for range maxPeers {
-		p, ok := s.Pick(now, 4, rng)
+		p, ok := s.Pick(now, Position{0, 4}, 0, rng)
 		is.True(ok)
 		s.Busy(now, p.Address, rng)
 	}
-	_, ok = s.Pick(now, 4, rng)
+	_, ok = s.Pick(now, Position{0, 4}, 0, rng)
 	is.True(!ok)
-	p, ok := s.Pick(now.Add(2*busyDelay), 4, rng)
+	p, ok := s.Pick(now.Add(2*busyDelay), Position{0, 4}, 0, rng)
 	is.True(ok)
 	s.Failed(now, p.Address)
-	s.Announce(Peer{Address: p.Address, Changed: 6}) // a heartbeat does not make it reachable
-	_, ok = s.Pick(now, 5, rng)
+	s.Announce(Peer{Address: p.Address, Changed: Position{0, 6}}) // a heartbeat does not make it reachable
+	_, ok = s.Pick(now, Position{0, 5}, 0, rng)
 	is.True(!ok)
 }
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -40,6 +40,12 @@
 	AnsweredMillis uint32 `cbor:"3,keyasint,omitempty"`
 	// Failing is set while the sender's own calls to the platform fail.
 	Failing bool `cbor:"4,keyasint,omitempty"`
+	// Era is the era of Changed; 0 if the platform names none.
+	Era uint64 `cbor:"5,keyasint,omitempty"`
+	// Held is a digest of the changes of older eras that the replica holds; 0: none.
+	Held uint64 `cbor:"6,keyasint,omitempty"`
+	// Copied is a revision that the copy from which the era began does not exceed.
+	Copied uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Reading is the load that a backend server reported.
@@ -126,6 +132,10 @@
 	Full  bool     // the pages so far are of the whole content
 	Key   string   // everything up to this key has arrived
 	Part  FeedPart // of the next item, without Data: Offset bytes have arrived
+
+	AfterEra uint64 // the era of After; 0 if the platform names none
+	Eras     bool   // the host knows eras; without it, no held changes are sent
+	Held     uint64 // digest of the changes of older eras that the host holds
 }
 
 // FeedReply contains the changes, or the whole content if Full is set.
@@ -138,6 +148,10 @@
 	Key      string
 	Part     FeedPart
 	More     bool // further pages follow
+
+	Era    uint64 // of Revision
+	Copied uint64 // a revision that the copy from which the era began does not exceed
+	Held   uint64 // digest of the changes of older eras that the host holds
 }
 
 // FeedPart is a part of the packed value of a large item. The value is compressed by
@@ -149,6 +163,7 @@
 	Size     int
 	Offset   int
 	Data     []byte
+	Era      uint64
 }
 
 // FeedItem is one published item, or its removal if Gone is set.
@@ -157,4 +172,7 @@
 	Value    []byte
 	Revision uint64
 	Gone     bool
+	Era      uint64 // the oldest in which the change can have been made, or the one that lists it
+	Copied   bool   // the item is held, and the era in which it was made is not known
+	Settled  bool   // the item was held and no longer binds
 }
