Take the status of a backend server's response from its bytes

fasthttp gives 200 for a status of zero, skips 099 as an informational response, and passes 600 to 999 on. A response with the status line "HTTP/1.1 000 Nothing" and a valid signature reached the caller as a complete 200.

The status line is now read from the connection's buffer before the head is decoded: three digits from 100 to 599, for requests, probes and behind informational responses. Anything else is no response, with the verdict "may have run".

TestStatusLine and TestInformationalStatus failed before, 28 cases and 1. The client of the store compares the status with 200 and 410 and has no such fault: TestStoreStatus passed before as well. internal/peer reads no statuses.

--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -201,6 +201,9 @@
 // readFinalHead reads the head of the final response, and skips informational ones.
 func readFinalHead(resp *fasthttp.Response, r *bufio.Reader) error {
 	for range maxInformational + 1 {
+		if err := checkStatusLine(r); err != nil {
+			return err
+		}
 		if err := resp.Header.Read(r); err != nil {
 			return err
 		}
