Refuse a manifest in a response without a length

Without Content-Length and chunks, net/http takes the end of the connection for the end of the response. A manifest that was cut at the end of a line was accepted as a whole.

Such a response of the configuration service is now an error, like one with an invalid length. TestMissingLength failed before (3 of 10 cases). TestStatus shows that statuses outside of 200 and 204 never count as a manifest or as the lack of one; it passed before as well.

--- a/internal/configservice/configservice.go
+++ b/internal/configservice/configservice.go
@@ -130,6 +130,9 @@
 	default:
 		return nil, errors.Errorf("configuration service returned status %d", resp.StatusCode)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
+		return nil, errors.New("configuration service response has no length: its end cannot be distinguished from truncation")
+	}
 	body, err = io.ReadAll(io.LimitReader(resp.Body, MaxBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read configuration service response")
