--- a/internal/controller/feeds/eras.go
+++ b/internal/controller/feeds/eras.go
@@ -14,6 +14,9 @@
 // has read from the platform, before it uses what it has read.
 const maxPeerWait = 2 * time.Second
 
+// maxLoggedKeys bounds the keys of held changes in the log line about a change of era.
+const maxLoggedKeys = 20
+
 var (
 	// errNewEra means that the platform has come back from a copy. Changes after a position
 	// of the era before are not known; the content is read instead.
@@ -69,7 +72,9 @@
 			c.eras.releaseAt = now.Add(feed.RemovalGrace)
 			c.log.Warn("The platform has come back from a copy. What it acknowledged before stays in force until it is written again.",
 				zap.Uint64("era", p.position.Era), zap.Uint64("previous_era", c.eras.current), zap.Uint64("revision", p.position.Revision),
-				zap.Int("held_changed", changed), zap.Int("held_unlisted", unlisted), zap.Int("dropped", c.replica.HeldDropped()))
+				zap.Int("held_changed", changed), zap.Int("held_unlisted", unlisted), zap.Int("dropped", c.replica.HeldDropped()),
+				zap.Strings("held", c.replica.HeldKeys(maxLoggedKeys)))
+			c.cfg.Flush() // other hosts may not know of it
 		}
 		c.eras.current = p.position.Era
 	}
--- a/internal/controller/feeds/peers.go
+++ b/internal/controller/feeds/peers.go
@@ -193,7 +193,9 @@
 		c.peers.Learned(now, from.Address, reply.Era, reply.Held)
 		c.learnFromPeer()
 	}
-	c.recordConfirmation(c.confirmedByPeers)
+	if reply.Era == c.replica.Position().Era {
+		c.recordConfirmation(c.confirmedByPeers)
+	}
 	c.confirmedByPeers = 0
 	c.publish()
 	if c.replica.Position().Before(from.Changed) || !all {
--- a/internal/controller/feeds/servers.go
+++ b/internal/controller/feeds/servers.go
@@ -78,7 +78,7 @@
 	for key, r := range next.Servers {
 		delete(t.held, key)
 		old := t.byKey[key]
-		if old != nil && old.Era == r.Position.Era && old.Revision == r.Position.Revision {
+		if old != nil && isRegistration(old, r) {
 			continue
 		}
 		t.byKey[key] = c.buildServer(now, r, old)
@@ -100,13 +100,20 @@
 	}
 }
 
+// isRegistration reports whether a server was built from this registration. In another era
+// a registration may have the same revision.
+func isRegistration(s *state.Server, r Registration) bool {
+	return s.Revision == r.Position.Revision && s.Born == r.Born && s.Address == r.Address && s.Leaving == r.Leaving &&
+		s.Service == r.Service && s.DataCentre == r.DataCentre && s.Slots == r.Slots
+}
+
 // buildServer returns the published form of a registration. The load of a
 // backend server that only changed its state is kept; a new process starts
 // without load data.
 func (c *Controller) buildServer(now clock.Time, r Registration, old *state.Server) *state.Server {
 	s := &state.Server{
 		BackendServer: manifest.BackendServer{Name: r.Name, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots, Leaving: r.Leaving},
-		Service:       r.Service, Born: r.Born, Era: r.Position.Era, Revision: r.Position.Revision, Load: &load.State{},
+		Service:       r.Service, Born: r.Born, Revision: r.Position.Revision, Load: &load.State{},
 		Local: r.DataCentre == c.cfg.Store.Load().Members.Self.DataCentre,
 	}
 	sameProcess := old != nil && old.Born == r.Born && old.Address == r.Address
--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -180,6 +180,17 @@
 	return changed, unlisted
 }
 
+// HeldKeys returns at most limit keys of the items that Held counts, in their order.
+func (r *Replica) HeldKeys(limit int) (keys []string) {
+	for key, c := range r.held.byKey {
+		if _, listed := r.items[key]; !c.settled && (listed || !c.item.Gone) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys[:min(len(keys), limit)]
+}
+
 // HeldDropped returns the number of changes that could not be held since the era began.
 func (r *Replica) HeldDropped() int { return r.held.dropped }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -26,7 +26,6 @@
 	manifest.BackendServer
 	Service   string
 	Born      int64      // identifies the process behind the name
-	Era       uint64     // of Revision
 	Revision  uint64     // of the registration
 	ColdUntil clock.Time // end of the cold start as registered; 0 if it was warm
 	Local     bool       // in this host's data centre
