--- a/internal/controller/mesh/mesh.go
+++ b/internal/controller/mesh/mesh.go
@@ -115,6 +115,9 @@
 // SetSeeds replaces the addresses of the hosts to contact first.
 func (c *Controller) SetSeeds(addresses []string) { c.seeds.Store(&addresses) }
 
+// Seeds returns the addresses of the hosts to contact first.
+func (c *Controller) Seeds() []string { return *c.seeds.Load() }
+
 // Flush sends the next heartbeat now, because there are new readings.
 func (c *Controller) Flush() {
 	c.flush.Store(true)
@@ -389,19 +392,3 @@
 		c.remoteBytes.Add(int64(len(raw)))
 	}
 }
-
-func fromWire(p wire.Peer, now clock.Time) roster.Host {
-	return roster.Host{
-		Address: p.Address, DataCentre: p.DataCentre, Incarnation: p.Incarnation, Leaving: p.Leaving,
-		Received: now.Add(-time.Duration(p.AgeMillis) * time.Millisecond),
-	}
-}
-
-func toWire(h roster.Host, now clock.Time) wire.Peer {
-	p := wire.Peer{Address: h.Address, DataCentre: h.DataCentre, Incarnation: h.Incarnation, Leaving: h.Leaving}
-	if h.Received != 0 {
-		// Rounded up: an age must not shrink while several hosts pass it on.
-		p.AgeMillis = uint32(now.Sub(h.Received)/time.Millisecond) + 1
-	}
-	return p
-}
--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -22,12 +22,14 @@
 	"github.com/anvilfront/anvilfront/internal/backend"
 	"github.com/anvilfront/anvilfront/internal/callers"
 	"github.com/anvilfront/anvilfront/internal/clock"
+	"github.com/anvilfront/anvilfront/internal/controller/accountloads"
 	"github.com/anvilfront/anvilfront/internal/controller/crashes"
 	"github.com/anvilfront/anvilfront/internal/controller/feeds"
 	"github.com/anvilfront/anvilfront/internal/controller/latencies"
 	"github.com/anvilfront/anvilfront/internal/controller/measures"
 	"github.com/anvilfront/anvilfront/internal/controller/mesh"
 	"github.com/anvilfront/anvilfront/internal/controller/pause"
+	"github.com/anvilfront/anvilfront/internal/controller/quotas"
 	"github.com/anvilfront/anvilfront/internal/feed"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/filters"
@@ -93,7 +95,9 @@
 	feeds         *feeds.Controller
 	measures      *measures.Controller
 	crashes       *crashes.Controller
+	accountLoads  *accountloads.Controller
 	latencies     *latencies.Controller
+	quotas        *quotas.Controller
 	placement     *filters.Placement
 	pauseDetector *pause.Detector
 	peerClient    *peer.Client
@@ -160,10 +164,14 @@
 		Clock: h.clock, Store: h.store, Self: poison.Origin(self.Address, uint64(self.Incarnation)), RefusesConnections: h.transport.RefusesConnections,
 		Flush: h.mesh.Flush, Counters: h.counters, Log: h.log,
 	})
+	h.quotas = quotas.New(quotas.Config{Clock: h.clock, Store: h.store, Mesh: h.mesh, Rand: newRand(), Counters: h.counters, Log: h.log})
+	h.mesh.AddHandler(h.quotas)
 	h.mesh.AddHandler(h.crashes)
 	h.mesh.AddHandler(h.feeds)
 	h.mesh.AddHandler(h.measures)
-	h.placement = &filters.Placement{Clock: h.clock, Store: h.store, Cold: h.measures, Limited: h.measures, Load: h.measures}
+	h.accountLoads = accountloads.New(accountloads.Config{DataCentre: s.DataCentre, Counters: h.counters})
+	h.mesh.AddHandler(h.accountLoads) // last: it uses the room that the others leave
+	h.placement = &filters.Placement{Clock: h.clock, Store: h.store, Cold: h.measures, Limited: h.measures, Load: h.measures, Loads: h.accountLoads}
 	h.pauseDetector = &pause.Detector{Clock: h.clock, Store: h.store, Resync: h.resync, Suspended: clock.Suspended, Counters: h.counters, Log: h.log.Named("pause")}
 	return h.assembleListeners()
 }
@@ -256,7 +264,9 @@
 		// Selects the route and the service.
 		filters.Route{},
 		// Refuses requests without the key of a client account.
-		filters.Account{},
+		&filters.Account{Loads: h.accountLoads},
+		// Refuses requests of an account that is over its quota.
+		&filters.Quota{Quotas: h.quotas},
 		// Retries the rest of the chain, within the retry budget.
 		&filters.Retry{Clock: h.clock, Counters: h.counters, MaxTokens: func() float64 {
 			return filters.SlackShare(h.settings.RetrySlack, h.mesh.View().Size())
@@ -291,7 +301,7 @@
 	var wg conc.WaitGroup
 	wg.Go(h.peerServer.Serve)
 	for _, run := range []func(context.Context){
-		h.mesh.Run, h.feeds.Run, h.measures.Run, h.crashes.Run, h.latencies.Run, h.transport.Run, h.pauseDetector.Run, h.callers.Serve,
+		h.mesh.Run, h.feeds.Run, h.measures.Run, h.crashes.Run, h.quotas.Run, h.latencies.Run, h.transport.Run, h.pauseDetector.Run, h.callers.Serve,
 	} {
 		wg.Go(func() { h.stopOnPanic(runCtx, run) })
 	}
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -20,6 +20,47 @@
 	Relayed  bool         `cbor:"8,keyasint,omitempty"` // a digest that another host relayed; From is its original sender
 	Hello    bool         `cbor:"9,keyasint,omitempty"` // requests a reply with Peers
 	Crashes  []Crash      `cbor:"10,keyasint,omitempty"`
+	// Partial is set in a datagram that carries nothing of the sender's state but From.
+	Partial bool `cbor:"16,keyasint,omitempty"`
+	// UptimeMillis is the age of the sender's process, while it has accounts with a quota.
+	UptimeMillis uint32 `cbor:"17,keyasint,omitempty"`
+	// FleetSize is the number of hosts that exist as far as the sender knows; sent with
+	// UptimeMillis.
+	FleetSize   uint16       `cbor:"20,keyasint,omitempty"`
+	QuotaAsks   []QuotaAsk   `cbor:"18,keyasint,omitempty"`
+	QuotaGrants []QuotaGrant `cbor:"19,keyasint,omitempty"`
+	// QuotaHandovers pass tokens on from a former owner of accounts to the next one.
+	QuotaHandovers []QuotaHandover `cbor:"21,keyasint,omitempty"`
+	// Accounts counts the sender's requests by client account since its last heartbeat.
+	Accounts []AccountCount `cbor:"22,keyasint,omitempty"`
+}
+
+// QuotaAsk asks the owner of a client account for tokens of its quota.
+type QuotaAsk struct {
+	ID       uint32 `cbor:"1,keyasint"`
+	Account  uint64 `cbor:"2,keyasint"`           // hash of its name
+	Waiting  uint16 `cbor:"3,keyasint,omitempty"` // requests that wait for a token
+	Ahead    uint16 `cbor:"4,keyasint,omitempty"` // tokens for requests that are expected soon
+	Seen     uint16 `cbor:"5,keyasint,omitempty"` // requests since the sender's last ask
+	Returned uint16 `cbor:"6,keyasint,omitempty"` // tokens that were not spent
+	ReplyTo  string `cbor:"7,keyasint,omitempty"` // IP:port of the asking host, if From forwards the ask
+	Hops     uint8  `cbor:"8,keyasint,omitempty"` // times that it was forwarded
+}
+
+// QuotaHandover passes the tokens of an account on to its next owner.
+type QuotaHandover struct {
+	ID      uint32 `cbor:"1,keyasint"`
+	Account uint64 `cbor:"2,keyasint"` // hash of its name
+	Tokens  uint32 `cbor:"3,keyasint"`
+}
+
+// QuotaGrant answers the QuotaAsk with the same ID.
+type QuotaGrant struct {
+	ID          uint32 `cbor:"1,keyasint"`
+	Granted     uint16 `cbor:"2,keyasint,omitempty"`
+	HoldMillis  uint16 `cbor:"3,keyasint,omitempty"` // no further asks for this time
+	RetryMillis uint32 `cbor:"4,keyasint,omitempty"` // when refused callers find room
+	Excess      uint16 `cbor:"5,keyasint,omitempty"` // demand in percent of the usual demand
 }
 
 // Peer is one entry host.
@@ -76,6 +117,12 @@
 	Ratio  uint16 `cbor:"4,keyasint,omitempty"` // mean duration in percent of the expected duration; 0 if none was measured
 }
 
+// AccountCount counts requests of one client account.
+type AccountCount struct {
+	Account  uint32 `cbor:"1,keyasint"` // ServerHash of its name
+	Requests uint16 `cbor:"2,keyasint"`
+}
+
 // Crash reports a request that crashed a backend server.
 type Crash struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
@@ -86,8 +133,8 @@
 	AgeMillis   uint32 `cbor:"6,keyasint,omitempty"` // since the crash
 }
 
-// ServerHash returns the FNV-1a hash that stands for a backend server's name in
-// heartbeats.
+// ServerHash returns the FNV-1a hash that stands for the name of a backend server or a
+// client account in heartbeats.
 func ServerHash(name string) uint32 {
 	h := uint32(2166136261)
 	for i := range len(name) {
