--- a/internal/feedhost/stop_test.go
+++ b/internal/feedhost/stop_test.go
@@ -21,21 +21,23 @@
 // stuckSource is a platform whose calls do not end with their context.
 type stuckSource struct{ called, release chan struct{} }
 
-func (s stuckSource) Read(context.Context) (uint64, []feed.Item, error) {
+func (s stuckSource) Read(context.Context) (feed.Position, []feed.Item, error) {
 	close(s.called)
 	<-s.release
-	return 0, nil, feed.ErrUnusable
+	return feed.Position{}, nil, feed.ErrUnusable
 }
 
-func (s stuckSource) Watch(context.Context, uint64, time.Duration) (uint64, []feed.Item, error) {
+func (s stuckSource) Watch(context.Context, feed.Position, time.Duration) (feed.Position, []feed.Item, error) {
 	<-s.release
-	return 0, nil, feed.ErrUnusable
+	return feed.Position{}, nil, feed.ErrUnusable
 }
 
 type noContent struct{}
 
 func (noContent) Decode(_ *feed.Replica, previous *feeds.Content) *feeds.Content { return previous }
 
+func (noContent) Version(feed.Item) uint64 { return 0 }
+
 type noCodec struct{}
 
 func (noCodec) Decode(*fasthttp.Request) (*filter.Request, *filter.Outcome) {
