Admit by the reading, choose by its age

Cause: the expected completion time that moves towards the mean of the service with the age of a reading also decided whether a request is admitted.

Change: it decides on the order of the servers only.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -110,10 +110,9 @@
 // the completion time, corrected by failure rate, penalties and jitter.
 func (c *Choice) Consider(index int, s Candidate, req Requirements, r *rand.Rand) {
 	completion, hasCapacity := CompletionTime(s, req.Work)
-	completion = withAge(completion, s, req.Typical)
 	c.occupied += s.Running + s.Waiting
 	c.slots += float64(max(s.Slots, 1))
-	score := float64(completion) / (1 - min(s.FailureRate, maxFailureRate))
+	score := float64(withAge(completion, s, req.Typical)) / (1 - min(s.FailureRate, maxFailureRate))
 	if !s.Known || s.Age > maxReadingAge {
 		score += unknownPenalty * float64(req.PenaltyScale)
 	}
