Show how many accounts a host has learned of

Cause: neither an operator nor a test could see whether counts of accounts reach other hosts. A host that measures servers judged all accounts with each of some thirty heartbeats a second.

Change: the gauge accountloads.known; accounts are judged at most every 200 ms.

--- a/internal/accountload/accountload.go
+++ b/internal/accountload/accountload.go
@@ -60,6 +60,9 @@
 	learned clock.Time // up to which requests are part of the usual rates
 }
 
+// Len returns the number of accounts in the table.
+func (t *Table) Len() int { return len(t.entries) }
+
 // Add records requests of an account.
 func (t *Table) Add(now clock.Time, account uint32, requests int) {
 	if requests <= 0 {
--- a/internal/controller/accountloads/accountloads.go
+++ b/internal/controller/accountloads/accountloads.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/anvilfront/anvilfront/internal/accountload"
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -24,6 +25,9 @@
 	// maxCountsPerHeartbeat bounds the counts in one heartbeat. A host that gets three
 	// requests a second sends one in most heartbeats.
 	maxCountsPerHeartbeat = 16
+	// judgeInterval is the time between two judgements. A host that measures sends some
+	// thirty heartbeats a second.
+	judgeInterval = 200 * time.Millisecond
 	// maxCount bounds the count of one account that is believed, since a count is not more
 	// than a host can serve between two heartbeats.
 	maxCount = 1000
@@ -48,8 +52,9 @@
 	mu      sync.Mutex // guards what follows; not taken on the path of a request
 	table   accountload.Table
 	pending map[uint32]int // counts that are not sent yet
+	judged  clock.Time     // when the accounts were judged last
 
-	dropped, hotGauge *expvar.Int
+	dropped, hotGauge, known *expvar.Int
 }
 
 // New returns a controller that has seen no requests.
@@ -57,6 +62,7 @@
 	c := &Controller{
 		cfg: cfg, requests: make(chan uint32, queueLength), pending: map[uint32]int{},
 		dropped: cfg.Counters.Int("accountloads.dropped"), hotGauge: cfg.Counters.Int("accountloads.hot"),
+		known: cfg.Counters.Int("accountloads.known"),
 	}
 	c.hot.Store(&map[uint32]float64{})
 	return c
@@ -97,7 +103,16 @@
 			delete(c.pending, account)
 		}
 	}
+	if now.Sub(c.judged) >= judgeInterval {
+		c.judge(now)
+	}
+}
+
+// judge publishes the accounts that send many times their usual load.
+func (c *Controller) judge(now clock.Time) {
+	c.judged = now
 	hot := c.table.Hot(now)
+	c.known.Set(int64(c.table.Len()))
 	if len(hot) == 0 && len(*c.hot.Load()) == 0 {
 		return
 	}
