Leave room for the fields of quotas in heartbeats

Cause: the room for counts of accounts was computed without the fields that quotas add to each heartbeat, and with shorter addresses than IPv4 allows.

Change: 320 bytes are set aside for what is not readings, outcomes or crashes.

--- a/internal/controller/accountloads/accountloads.go
+++ b/internal/controller/accountloads/accountloads.go
@@ -33,7 +33,7 @@
 	maxCount = 1000
 	// countBytes is the size of an encoded count. A heartbeat gets none that would exceed
 	// wire.MaxHeartbeat, taking its other parts at their largest.
-	countBytes, readingBytes, outcomeBytes, crashBytes, otherBytes = 11, 32, 16, 90, 250
+	countBytes, readingBytes, outcomeBytes, crashBytes, otherBytes = 11, 32, 16, 90, 320
 )
 
 // Config holds the dependencies of a Controller.
