Give an account that is listed twice one quota

Cause: quotas read the accounts as a list, in which the last entry of a name decided on rate and burst, while the key of a request led to the first: an account listed first without a rate had no quota, against what the log says.

Change: a compiled configuration has one entry for each name, with the settings of the first and the keys of all; entries without a name are one account as well.

--- a/internal/manifest/accounts.go
+++ b/internal/manifest/accounts.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -37,23 +38,30 @@
 // the number of accounts.
 func (m *Manifest) AccountOf(key KeyHash) *Account { return m.accountsByKey[key] }
 
+// mergeAccounts returns the accounts with one entry for each name. The settings of the first
+// entry apply to the keys of all, so that their requests are counted together and have one
+// quota.
+func mergeAccounts(accounts []Account) []Account {
+	merged := make([]Account, 0, len(accounts))
+	first := make(map[string]int, len(accounts))
+	for i := range accounts {
+		if n, listed := first[accounts[i].Name]; listed {
+			merged[n].Keys = slices.Concat(merged[n].Keys, accounts[i].Keys)
+			continue
+		}
+		first[accounts[i].Name] = len(merged)
+		merged = append(merged, accounts[i])
+	}
+	return merged
+}
+
 // indexAccounts returns the accounts by key. A key that several accounts list belongs to
-// the first one. The keys of an account that is listed twice all belong to its first entry,
-// so that its requests are counted together.
+// the first one.
 func indexAccounts(accounts []Account) map[KeyHash]*Account {
-	if len(accounts) == 0 {
-		return nil
-	}
 	byKey := make(map[KeyHash]*Account, len(accounts))
-	byName := make(map[string]*Account, len(accounts))
 	for i := range accounts {
 		a := &accounts[i]
-		if first := byName[a.Name]; first != nil && a.Name != "" {
-			a = first
-		} else {
-			byName[a.Name] = a
-		}
-		for _, k := range accounts[i].Keys {
+		for _, k := range a.Keys {
 			if byKey[k] == nil {
 				byKey[k] = a
 			}
@@ -82,13 +90,13 @@
 		}
 		owner := i
 		first, listed := names[a.Name]
-		switch {
-		case a.Name == "":
+		if a.Name == "" {
 			report("entry %d has no name; backend servers get no account name with its requests", i+1)
-		case listed:
+		}
+		if listed {
 			owner = first
 			report("is listed in the entries %d and %d; the settings of entry %d apply to the keys of both", first+1, i+1, first+1)
-		default:
+		} else {
 			names[a.Name] = i
 		}
 		if a.Burst > 0 && !a.Limited() {
--- a/internal/manifest/compile.go
+++ b/internal/manifest/compile.go
@@ -25,6 +25,9 @@
 		s := &f.Services[i]
 		m.Services[s.Name] = s
 	}
-	m.accountsByKey = indexAccounts(f.Accounts)
+	if len(f.Accounts) > 0 {
+		f.Accounts = mergeAccounts(f.Accounts)
+		m.accountsByKey = indexAccounts(f.Accounts)
+	}
 	return m
 }
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -54,7 +54,7 @@
 	Alerts      []AlertRule  `toml:"alerts"`
 	Dropped     []Dropped    `toml:"dropped"`
 	// Accounts are the client accounts of a configuration that a feed publishes. With
-	// none, requests need no key.
+	// none, requests need no key. Compile leaves one entry for each name.
 	Accounts []Account `toml:"-"`
 }
 
