Tell restarted hosts which accounts are hot

Cause: a host that was restarted while an account sent many times its usual load took that load for usual, and did not hold the account back.

Change: hosts that judge repeat up to four hot accounts in each heartbeat of their data centre.

Result: TestRestartWhileHot and TestHeatAcrossHosts pass with -race; with reports ignored, or the load learned whole, TestRestartWhileHot fails.

--- a/internal/accountload/accountload.go
+++ b/internal/accountload/accountload.go
@@ -37,8 +37,13 @@
 	maxAccounts = 2048
 	// evictionSample is the number of accounts among which that one is chosen.
 	evictionSample = 8
+	// maxReported bounds the heat that is believed of another host.
+	maxReported = 1000
 	// MaxHot bounds the accounts that are hot at the same time; the hottest are kept.
 	MaxHot = 64
+	// reportTime is how long the heat that another host reported counts, in a table that is too
+	// young to judge. Hosts repeat it five times a second.
+	reportTime = time.Second
 	// HotFrom is the multiple of its usual rate from which on an account is hot.
 	HotFrom = 2.0
 )
@@ -48,6 +53,8 @@
 	current, usual   float64 // decayed sums in requests per second; usual is of the time that was learned
 	recent, previous float64 // requests of the running period and of the one before, which are not learned yet
 	heat             float64 // by the newest Hot
+	reported         float64 // by another host
+	reportedAt       clock.Time
 }
 
 // Table holds the rates of accounts, by the hash of their names. It is not safe for
@@ -84,6 +91,18 @@
 	e.recent += n
 }
 
+// Report records the heat of an account as another host judged it. It counts only while the
+// table is too young to judge: a host that is restarted while an account is hot would take the
+// load of that account for usual.
+func (t *Table) Report(now clock.Time, account uint32, heat float64) {
+	if e := t.entries[account]; e != nil && heat >= HotFrom && heat <= maxReported {
+		e.reported, e.reportedAt = heat, now
+	}
+}
+
+// Judges reports whether the table has learned for long enough to judge.
+func (t *Table) Judges() bool { return t.learned.Sub(t.began) >= learnTime }
+
 // evict removes one account that sends little.
 func (t *Table) evict() {
 	var least uint32
@@ -119,7 +138,8 @@
 
 // Hot returns the accounts that send at least HotFrom times their usual rate, with the
 // multiple. A growth that all others share, as after the loss of a data centre, is taken
-// out. It returns nil if there is none.
+// out. A table that is too young to judge returns what other hosts reported. It returns nil
+// if there is none.
 func (t *Table) Hot(now clock.Time) map[uint32]float64 {
 	if t.began == 0 {
 		return nil
@@ -129,9 +149,6 @@
 	if now.Sub(t.rotated) >= period {
 		t.rotate(now, least)
 	}
-	if t.learned.Sub(t.began) < learnTime {
-		return nil
-	}
 	var hot map[uint32]float64
 	for account, e := range t.entries {
 		if e.heat < HotFrom {
@@ -161,7 +178,11 @@
 	correction, length := t.correction(now), now.Sub(t.rotated).Seconds()
 	for _, e := range t.entries {
 		learned := e.previous
-		if e.heat >= risingHeat {
+		switch {
+		case e.heat < risingHeat:
+		case !t.Judges():
+			learned /= e.heat
+		default:
 			learned = min(learned, learnedShare*max(e.usual*correction, least)*length)
 		}
 		e.usual += learned / usualTime.Seconds()
@@ -172,7 +193,16 @@
 
 // judge sets the heat of all accounts, and returns the rate that counts as usual at least.
 func (t *Table) judge(now clock.Time) (least float64) {
-	if len(t.entries) == 0 || t.learned == t.began {
+	if !t.Judges() {
+		for _, e := range t.entries {
+			e.heat = 0
+			if e.reportedAt != 0 && now.Sub(e.reportedAt) < reportTime {
+				e.heat = e.reported
+			}
+		}
+		return 0
+	}
+	if len(t.entries) == 0 {
 		return 0
 	}
 	correction := t.correction(now)
--- a/internal/accountload/accountload_test.go
+++ b/internal/accountload/accountload_test.go
@@ -109,6 +109,42 @@
 	})
 }
 
+// TestRestartWhileHot guards against a host that is restarted while an account is hot and takes
+// its load for usual; and against reports that count in a table that judges for itself.
+func TestRestartWhileHot(t *testing.T) {
+	is := is.New(t)
+	var young, old Table
+	rng := rand.New(rand.NewPCG(1, 6))
+	const start, hotFrom = 120 * time.Second, 100 * time.Second
+	replay(rng, &old, 20, 0, start, func(a int, at time.Duration) float64 {
+		if a == 0 && at > hotFrom {
+			return 42
+		}
+		return 6
+	}, func(time.Duration, map[uint32]float64) {})
+	replay(rng, &young, 20, start, start+90*time.Second, func(a int, _ time.Duration) float64 {
+		if a == 0 {
+			return 42
+		}
+		return 6
+	}, func(at time.Duration, hot map[uint32]float64) {
+		now := clock.Time(time.Second).Add(at)
+		if !young.Judges() {
+			young.Report(now, 0, 6)
+			young.Report(now, 1, 1e9)  // not believed
+			young.Report(now, 99, 1e9) // not known
+		} else {
+			young.Report(now, 1, 6) // it judges for itself
+		}
+		if at > start+time.Second {
+			is.True(hot[0] >= HotFrom)
+			is.Equal(len(hot), 1)
+		}
+	})
+	is.True(old.Hot(clock.Time(time.Second).Add(start))[0] >= HotFrom)
+	is.True(young.Judges())
+}
+
 // TestBounds guards against memory that grows with the number of accounts, against counts that
 // are no numbers, and against idle accounts that are kept.
 func TestBounds(t *testing.T) {
--- a/internal/controller/accountloads/accountloads.go
+++ b/internal/controller/accountloads/accountloads.go
@@ -6,6 +6,7 @@
 
 import (
 	"expvar"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	// judgeInterval is the time between two judgements. A host that measures sends some
 	// thirty heartbeats a second.
 	judgeInterval = 200 * time.Millisecond
+	// maxHotPerHeartbeat bounds the hot accounts in one heartbeat. They take turns.
+	maxHotPerHeartbeat = 4
 	// maxCount bounds the count of one account that is believed, since a count is not more
 	// than a host can serve between two heartbeats.
 	maxCount = 1000
@@ -102,12 +105,27 @@
 			b.Accounts = append(b.Accounts, wire.AccountCount{Account: account, Requests: uint16(min(n, maxCount))})
 			delete(c.pending, account)
 		}
+		c.addHot(b, room-len(b.Accounts))
 	}
 	if now.Sub(c.judged) >= judgeInterval {
 		c.judge(now)
 	}
 }
 
+// addHot adds some of the accounts that this host judges to be hot, for hosts that are too
+// young to judge. The order of a map makes them take turns.
+func (c *Controller) addHot(b *wire.Heartbeat, room int) {
+	if !c.table.Judges() {
+		return
+	}
+	for account, heat := range *c.hot.Load() {
+		if len(b.HotAccounts) >= min(room, maxHotPerHeartbeat) {
+			return
+		}
+		b.HotAccounts = append(b.HotAccounts, wire.HotAccount{Account: account, Heat: uint16(min(10*heat, math.MaxUint16))})
+	}
+}
+
 // judge publishes the accounts that send many times their usual load.
 func (c *Controller) judge(now clock.Time) {
 	c.judged = now
@@ -138,7 +156,7 @@
 
 // Received implements mesh.HeartbeatHandler.
 func (c *Controller) Received(now clock.Time, b *wire.Heartbeat) {
-	if len(b.Accounts) == 0 || b.From.DataCentre != c.cfg.DataCentre {
+	if len(b.Accounts)+len(b.HotAccounts) == 0 || b.From.DataCentre != c.cfg.DataCentre {
 		return
 	}
 	c.mu.Lock()
@@ -146,4 +164,7 @@
 	for _, count := range b.Accounts[:min(len(b.Accounts), maxCountsPerHeartbeat)] {
 		c.table.Add(now, count.Account, min(int(count.Requests), maxCount))
 	}
+	for _, h := range b.HotAccounts[:min(len(b.HotAccounts), maxHotPerHeartbeat)] {
+		c.table.Report(now, h.Account, float64(h.Heat)/10)
+	}
 }
--- a/internal/controller/accountloads/accountloads_test.go
+++ b/internal/controller/accountloads/accountloads_test.go
@@ -61,6 +61,21 @@
 			is.Equal(hosts[s%30].Heat("a0"), 0.0)
 		}
 	}
+	young := newController() // started now: what the others report counts
+	now := clock.Time(time.Second).Add(seconds * time.Second)
+	for _, h := range hosts[:3] {
+		h.Observe("a0")
+		b := heartbeat()
+		h.AddToHeartbeat(now, b)
+		is.Equal(len(b.HotAccounts), 1)
+		young.Received(now, b)
+	}
+	b := heartbeat()
+	young.AddToHeartbeat(now.Add(time.Millisecond), b)
+	is.True(young.Heat("a0") > 3)
+	is.Equal(len(b.HotAccounts), 0) // it does not repeat what it has not judged
+	young.AddToHeartbeat(now.Add(5*time.Second), b)
+	is.Equal(young.Heat("a0"), 0.0) // reports expire
 	for _, h := range hosts {
 		is.True(h.Heat("a0") > 3)
 		is.Equal(h.Heat("a1"), 0.0)
--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -33,6 +33,8 @@
 	QuotaHandovers []QuotaHandover `cbor:"21,keyasint,omitempty"`
 	// Accounts counts the sender's requests by client account since its last heartbeat.
 	Accounts []AccountCount `cbor:"22,keyasint,omitempty"`
+	// HotAccounts are some of those that the sender judges to send many times their usual load.
+	HotAccounts []HotAccount `cbor:"23,keyasint,omitempty"`
 }
 
 // QuotaAsk asks the owner of a client account for tokens of its quota.
@@ -117,6 +119,12 @@
 	Requests uint16 `cbor:"2,keyasint"`
 }
 
+// HotAccount is a client account that sends many times its usual load.
+type HotAccount struct {
+	Account uint32 `cbor:"1,keyasint"` // ServerHash of its name
+	Heat    uint16 `cbor:"2,keyasint"` // ten times the multiple of its usual load
+}
+
 // Crash reports a request that crashed a backend server.
 type Crash struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
