Keep one owner for an account while all hosts are stopping

A fleet whose hosts all announced their stop had no owner of a task, and each host counted itself alone: the fallback shares added up to a multiple of the rate.

--- a/internal/roster/fleet.go
+++ b/internal/roster/fleet.go
@@ -23,33 +23,43 @@
 // of hosts that is cut off must not take itself for the whole fleet while the cut lasts.
 const fleetRetention = time.Hour
 
-// FleetOwner returns the address of the host that owns a task of the whole fleet, or "" if
-// there is none. The first data centre in rendezvous order with an alive host owns the
-// task, and in it the first host. Hosts agree on the data centre as long as one host of it
-// is heard of, and the hosts of a data centre know each other within fractions of a second;
-// what they know of single hosts elsewhere is too old to choose among these. A host of
-// another data centre may therefore name the wrong host, which passes the task on.
-// Another host with the address avoid is passed over if there is a second one.
+// FleetOwner returns the address of the host that owns a task of the whole fleet. The
+// first data centre in rendezvous order with an alive host owns the task, and in it the
+// first host. Hosts agree on the data centre as long as one host of it is heard of, and
+// the hosts of a data centre know each other within fractions of a second; what they know
+// of single hosts elsewhere is too old to choose among these. A host of another data
+// centre may therefore name the wrong host, which passes the task on. A host with the
+// address avoid is passed over if there is a second one.
 func (v *View) FleetOwner(k rendezvous.Key, avoid string) string {
+	if owner := v.fleetOwner(k, avoid, false); owner != "" {
+		return owner
+	}
+	return v.fleetOwner(k, avoid, true) // all are stopping
+}
+
+// fleetOwner is FleetOwner among the hosts that are leaving, or among the others.
+func (v *View) fleetOwner(k rendezvous.Key, avoid string, leaving bool) string {
+	candidate := func(h Host) bool { return h.Leaving == leaving }
 	dc, best := "", uint64(0)
-	if len(v.eligible) > 0 {
+	if candidate(v.Self) || slices.ContainsFunc(v.Local, candidate) {
 		dc, best = v.Self.DataCentre, k.Score(v.Self.DataCentre)
 	}
 	for name, hosts := range v.Remote {
-		if s := k.Score(name); (dc == "" || s > best || s == best && name < dc) && anyEligible(hosts) {
+		if s := k.Score(name); (dc == "" || s > best || s == best && name < dc) && slices.ContainsFunc(hosts, candidate) {
 			dc, best = name, s
 		}
 	}
 	var first ranking
-	if hosts, remote := v.Remote[dc]; remote {
-		for i := range hosts {
-			if !hosts[i].Leaving {
-				first.consider(k, hosts[i].Address, avoid)
-			}
+	hosts, remote := v.Remote[dc]
+	if !remote && dc != "" {
+		hosts = v.Local
+		if candidate(v.Self) {
+			first.consider(k, v.Self.Address, avoid)
 		}
-	} else {
-		for _, address := range v.eligible {
-			first.consider(k, address, avoid)
+	}
+	for i := range hosts {
+		if candidate(hosts[i]) {
+			first.consider(k, hosts[i].Address, avoid)
 		}
 	}
 	return cmp.Or(first.address, first.avoided)
@@ -78,8 +88,8 @@
 // SameFleetOwners reports whether FleetOwner gives the same results for the tasks that a
 // host of this data centre may own.
 func (v *View) SameFleetOwners(other *View) bool {
-	if !v.SameOwners(other) || len(v.Remote) != len(other.Remote) {
-		return false
+	if len(v.eligible) == 0 || !v.SameOwners(other) || len(v.Remote) != len(other.Remote) {
+		return false // without eligible hosts, leaving ones may own the tasks
 	}
 	for name, hosts := range v.Remote {
 		if o, ok := other.Remote[name]; !ok || anyEligible(hosts) != anyEligible(o) {
@@ -92,24 +102,15 @@
 // FleetSize returns how many hosts of the fleet are known at now, this one included, and
 // how many of them its group reaches: the alive ones of its data centre, and those of
 // other data centres that have been heard of lately while the data centre is in reach.
-// Hosts that announced their stop do not count.
+// Hosts that announced their stop count while they are alive, since they still serve.
 func (v *View) FleetSize(now clock.Time) (reachable, known int) {
-	reachable, known = 1, 1+len(v.Forgotten)
-	for i := range v.Local {
-		if !v.Local[i].Leaving {
-			reachable, known = reachable+1, known+1
-		}
-	}
+	reachable, known = 1+len(v.Local), 1+len(v.Local)+len(v.Forgotten)
 	inReach := map[string]bool{}
 	for dc, hosts := range v.Remote {
-		inReach[dc] = slices.ContainsFunc(hosts, func(h Host) bool { return now.Sub(h.Received) <= remoteReach })
-		for i := range hosts {
-			if hosts[i].Leaving {
-				continue
-			}
-			if known++; inReach[dc] {
-				reachable++
-			}
+		known += len(hosts)
+		if slices.ContainsFunc(hosts, func(h Host) bool { return now.Sub(h.Received) <= remoteReach }) {
+			inReach[dc] = true
+			reachable += len(hosts)
 		}
 	}
 	for i := range v.NotAlive {
