--- a/internal/wire/heartbeat.go
+++ b/internal/wire/heartbeat.go
@@ -31,6 +31,8 @@
 	QuotaGrants []QuotaGrant `cbor:"19,keyasint,omitempty"`
 	// QuotaHandovers pass tokens on from a former owner of accounts to the next one.
 	QuotaHandovers []QuotaHandover `cbor:"21,keyasint,omitempty"`
+	// Accounts counts the sender's requests by client account since its last heartbeat.
+	Accounts []AccountCount `cbor:"22,keyasint,omitempty"`
 }
 
 // QuotaAsk asks the owner of a client account for tokens of its quota.
@@ -109,6 +111,12 @@
 	Ratio  uint16 `cbor:"4,keyasint,omitempty"` // mean duration in percent of the expected duration; 0 if none was measured
 }
 
+// AccountCount counts requests of one client account.
+type AccountCount struct {
+	Account  uint32 `cbor:"1,keyasint"` // ServerHash of its name
+	Requests uint16 `cbor:"2,keyasint"`
+}
+
 // Crash reports a request that crashed a backend server.
 type Crash struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
@@ -119,8 +127,8 @@
 	AgeMillis   uint32 `cbor:"6,keyasint,omitempty"` // since the crash
 }
 
-// ServerHash returns the FNV-1a hash that stands for a backend server's name in
-// heartbeats.
+// ServerHash returns the FNV-1a hash that stands for the name of a backend server or a
+// client account in heartbeats.
 func ServerHash(name string) uint32 {
 	h := uint32(2166136261)
 	for i := range len(name) {
