Wait longer for a grant before a request is refused

Hosts get a sixth of a processor and may not run for 84 ms in a row; an owner that answers then was given up after 60 ms, and requests inside the quota were refused. They now wait for up to 120 ms.

--- a/internal/controller/quotas/quotas.go
+++ b/internal/controller/quotas/quotas.go
@@ -28,7 +28,7 @@
 	// as often.
 	viewInterval = 100 * time.Millisecond
 	// maxWait bounds the wait of a request, also when the controller gets no processor time.
-	maxWait = 150 * time.Millisecond
+	maxWait = 200 * time.Millisecond
 	// informedMargin is how much older another process must be to know the fleet.
 	informedMargin = time.Second
 	// maxUptime bounds the age of a process in heartbeats.
--- a/internal/filters/quota.go
+++ b/internal/filters/quota.go
@@ -17,7 +17,7 @@
 // Quotas decides whether an account is inside its quota over all entry hosts.
 type Quotas interface {
 	// Take takes a token of the account. It may wait for another entry host, for at most
-	// some tens of milliseconds.
+	// about a tenth of a second.
 	Take(ctx context.Context, a *manifest.Account) quota.Decision
 	// Return gives back the token of a request that did not run. It never blocks.
 	Return(a *manifest.Account, t quota.Token)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -22,10 +22,11 @@
 	// TokenLife is how long after the ask a granted token may be spent.
 	TokenLife = 250 * time.Millisecond
 	// repeatAfter is when an ask without an answer is sent once more, and giveUpAfter when
-	// the host stops waiting for it. A round trip takes 0.2 to 3 ms; the rest is for
-	// hosts that get a sixth of a processor.
+	// the host stops waiting for it. A round trip takes 0.2 to 3 ms; the rest is for hosts
+	// that get a sixth of a processor, which may not run for 84 ms in a row: refusing a
+	// request inside its quota is worse than its wait.
 	repeatAfter = 25 * time.Millisecond
-	giveUpAfter = 60 * time.Millisecond
+	giveUpAfter = 120 * time.Millisecond
 	// aheadTime is the demand that an ask covers beyond the requests that wait. It is well
 	// below TokenLife, so that few tokens expire unused.
 	aheadTime = 100 * time.Millisecond
