--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -187,6 +187,41 @@
 	}},
 }
 
+// TestOwnersLost guards against new owners that start with tokens which the former one has
+// handed out already: three owners are lost within two and a half seconds, each just after
+// its bucket was emptied.
+func TestOwnersLost(t *testing.T) {
+	is := is.New(t)
+	s := newSim(rand.New(rand.NewPCG(5, 3)), simConfig{hosts: 20, dataCentres: 1})
+	a := s.addAccount("huka270", Limit{128, 256}, func(time.Duration) float64 { return 1280 }, zipf(0, 0))
+	s.settle()
+	s.load()
+	for i := range 3 {
+		s.after(300*time.Millisecond+time.Duration(i)*1200*time.Millisecond, func() {
+			s.byAddress[s.hosts[s.rng.IntN(len(s.hosts))].view.FleetOwner(a.key, "")].stop()
+		})
+	}
+	s.runUntil(s.now + 8*time.Second)
+	part, at := a.worst()
+	t.Logf("%.3f of the bound, from %v", part, at)
+	is.True(part <= 1)
+}
+
+// TestRestartWhileCutOff guards against groups that each take themselves for the whole fleet
+// since all their processes have started while the network was cut.
+func TestRestartWhileCutOff(t *testing.T) {
+	is := is.New(t)
+	s := newSim(rand.New(rand.NewPCG(6, 3)), simConfig{hosts: 20, dataCentres: 2})
+	a := s.addAccount("huka270", Limit{128, 0}, func(time.Duration) float64 { return 1280 }, zipf(0, 0))
+	s.cut["z0"] = true
+	s.settle()
+	s.load()
+	s.runUntil(s.now + 8*time.Second)
+	part, at := a.worst()
+	t.Logf("%.3f of the bound, from %v", part, at)
+	is.True(part <= 1)
+}
+
 // steady returns a fleet of 100 hosts in 4 data centres without faults that has run for
 // three seconds.
 func steady(seed uint64) *sim {
