--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,6 +5,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -25,9 +26,18 @@
 	// unknownPenalty is the part of PenaltyScale added for a server without a
 	// recent reading.
 	unknownPenalty = 0.5
+	// unknownSpread is the mean of the random part of the score of a server without any
+	// reading, as a multiple of the work, for a server of one slot. The least of such values
+	// spreads requests in proportion to the slots: of two servers of which nothing is known,
+	// the one with twice the slots is chosen about twice as often.
+	unknownSpread = 0.6
 	// unhealthyPenalty is the part of PenaltyScale added for a server that fails
 	// its health check. It is not excluded, because health checks can be wrong.
 	unhealthyPenalty = 1.0
+	// connectionPenalty is the part of PenaltyScale added for a server to which a connection
+	// would have to be opened. A host sees few requests for each of many servers: without
+	// it, nearly every request opens a connection, and idle ones expire unused.
+	connectionPenalty = 0.1
 	// scoreJitter is the relative width of the random factor that keeps hosts with
 	// equal views from choosing the same server.
 	scoreJitter = 0.10
@@ -37,6 +47,10 @@
 	// retryTimeFactor is the multiple of the objective that must be left until the
 	// deadline for a caller to retry later in time.
 	retryTimeFactor = 2
+	// readingDecayTime is the age at which a reading has 1/e of its weight left against the
+	// service's typical load: requests start and end, and neighbours slow a server down or
+	// stop, several times a second.
+	readingDecayTime = 100 * time.Millisecond
 	// maxReadingAge is the age up to which a reading counts as the current occupancy
 	// of a server. It is five times the longest probe interval.
 	maxReadingAge = 500 * time.Millisecond
@@ -51,7 +65,10 @@
 	TimeLeft          time.Duration // time left until the deadline
 	SpareCapacityOnly bool          // use only a server with capacity, and only if in time: the request already runs elsewhere
 	Urgency           float64       // 0 to 1; the share of the objective that waiting and work may use up
-	MostOccupied      float64       // refused while a greater share of the slots is occupied: other accounts go first; 0: never
+	// Typical is the mean completion time of the servers by their newest readings, or 0 if
+	// it is not known. The older a reading, the more it counts in its place.
+	Typical      time.Duration
+	MostOccupied float64 // refused while a greater share of the slots is occupied: other accounts go first; 0: never
 }
 
 // Candidate is one backend server.
@@ -63,6 +80,8 @@
 	// score worsens with its utilization, to leave free slots to hosts that do not
 	// know of this request yet.
 	RejectsExcess bool
+	// NeedsConnection is set for a server to which a connection would have to be opened.
+	NeedsConnection bool
 	// Queried is set for a server that was queried for this request. It has no random
 	// factor, so that a server with an older reading does not win a tie.
 	Queried bool
@@ -91,15 +110,22 @@
 // the completion time, corrected by failure rate, penalties and jitter.
 func (c *Choice) Consider(index int, s Candidate, req Requirements, r *rand.Rand) {
 	completion, hasCapacity := CompletionTime(s, req.Work)
+	completion = withAge(completion, s, req.Typical)
 	c.occupied += s.Running + s.Waiting
 	c.slots += float64(max(s.Slots, 1))
 	score := float64(completion) / (1 - min(s.FailureRate, maxFailureRate))
 	if !s.Known || s.Age > maxReadingAge {
 		score += unknownPenalty * float64(req.PenaltyScale)
 	}
+	if !s.Known {
+		score += unknownSpread * float64(req.Work) * r.ExpFloat64() / float64(max(s.Slots, 1))
+	}
 	if s.Unhealthy {
 		score += unhealthyPenalty * float64(req.PenaltyScale)
 	}
+	if s.NeedsConnection {
+		score += connectionPenalty * float64(req.PenaltyScale)
+	}
 	if !s.Local {
 		score += remotePenalty * float64(req.PenaltyScale)
 	}
@@ -121,6 +147,17 @@
 	}
 }
 
+// withAge returns the expected completion time at a server whose reading has an age. The
+// reading was one of many when the server was chosen for it, so that it is rather too good
+// than too bad: a time above the typical one is kept.
+func withAge(completion time.Duration, s Candidate, typical time.Duration) time.Duration {
+	if typical <= completion || s.Queried || !s.Known || s.RejectsExcess {
+		return completion
+	}
+	weight := math.Exp(-float64(max(s.Age, 0)) / float64(readingDecayTime))
+	return typical - time.Duration(weight*float64(typical-completion))
+}
+
 // ConsiderFull records a server that cannot be chosen because it would refuse the request.
 func (c *Choice) ConsiderFull(slots int) {
 	c.occupied += float64(max(slots, 1))
