--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -15,8 +15,8 @@
 )
 
 var (
-	runs = flag.Int("quota.runs", 200, "simulated days of TestBound")
-	seed = flag.Uint64("quota.seed", 1, "seed of the first run of TestBound")
+	runs = flag.Int("seeds", 200, "runs of TestBound")
+	seed = flag.Uint64("seed", 1, "seed of the first run of TestBound")
 )
 
 const simEnd = 20 * time.Second
@@ -25,7 +25,7 @@
 // quota allows, in any window: while views of the hosts differ, a host is silent, paused,
 // lost or added, an owner is lost or owned twice, a data centre is cut off, all hosts
 // restart, limits change, and messages are lost, late or repeated. A run is named by its
-// seed; run one alone with -quota.runs=1 -quota.seed=N.
+// seed; run one alone with -seeds 1 -seed N.
 func TestBound(t *testing.T) {
 	var next, over atomic.Int64
 	var mu sync.Mutex
@@ -170,6 +170,15 @@
 			s.after(s.between(300*time.Millisecond, 2*time.Second), h.stop)
 		}
 	}},
+	{"planned stop of all", func(s *sim) {
+		for _, h := range s.hosts {
+			if h.node != nil {
+				h.roster.Leave()
+			}
+			s.after(2300*time.Millisecond, h.stop)
+			s.after(s.between(2500*time.Millisecond, 3*time.Second), h.start)
+		}
+	}},
 	{"limit changed", func(s *sim) {
 		a := s.accounts[s.rng.IntN(len(s.accounts))]
 		l := a.limits[len(a.limits)-1].Limit
@@ -178,6 +187,41 @@
 	}},
 }
 
+// TestOwnersLost guards against new owners that start with tokens which the former one has
+// handed out already: three owners are lost within two and a half seconds, each just after
+// its bucket was emptied.
+func TestOwnersLost(t *testing.T) {
+	is := is.New(t)
+	s := newSim(rand.New(rand.NewPCG(5, 3)), simConfig{hosts: 20, dataCentres: 1})
+	a := s.addAccount("huka270", Limit{128, 256}, func(time.Duration) float64 { return 1280 }, zipf(0, 0))
+	s.settle()
+	s.load()
+	for i := range 3 {
+		s.after(300*time.Millisecond+time.Duration(i)*1200*time.Millisecond, func() {
+			s.byAddress[s.hosts[s.rng.IntN(len(s.hosts))].view.FleetOwner(a.key, "")].stop()
+		})
+	}
+	s.runUntil(s.now + 8*time.Second)
+	part, at := a.worst()
+	t.Logf("%.3f of the bound, from %v", part, at)
+	is.True(part <= 1)
+}
+
+// TestRestartWhileCutOff guards against groups that each take themselves for the whole fleet
+// since all their processes have started while the network was cut.
+func TestRestartWhileCutOff(t *testing.T) {
+	is := is.New(t)
+	s := newSim(rand.New(rand.NewPCG(6, 3)), simConfig{hosts: 20, dataCentres: 2})
+	a := s.addAccount("huka270", Limit{128, 0}, func(time.Duration) float64 { return 1280 }, zipf(0, 0))
+	s.cut["z0"] = true
+	s.settle()
+	s.load()
+	s.runUntil(s.now + 8*time.Second)
+	part, at := a.worst()
+	t.Logf("%.3f of the bound, from %v", part, at)
+	is.True(part <= 1)
+}
+
 // steady returns a fleet of 100 hosts in 4 data centres without faults that has run for
 // three seconds.
 func steady(seed uint64) *sim {
