Send by an old reading rather than refuse

Cause: the order of the servers by the age of their readings put slower ones that were queried first, and a request was refused if these could not meet its objective although another looked free.

Change: a request that the preferred server does not admit goes to the one that is best by readings whatever their age, if that one admits it.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -102,6 +102,7 @@
 // Choice holds the best servers found so far. The zero value has none.
 type Choice struct {
 	Best             Option  // of all candidates
+	BestByReading    Option  // of all candidates, whatever the age of their readings
 	BestWithCapacity Option  // of the candidates with capacity
 	occupied, slots  float64 // of all candidates
 }
@@ -112,7 +113,8 @@
 	completion, hasCapacity := CompletionTime(s, req.Work)
 	c.occupied += s.Running + s.Waiting
 	c.slots += float64(max(s.Slots, 1))
-	score := float64(withAge(completion, s, req.Typical)) / (1 - min(s.FailureRate, maxFailureRate))
+	aged := float64(withAge(completion, s, req.Typical) - completion)
+	score := float64(completion) / (1 - min(s.FailureRate, maxFailureRate))
 	if !s.Known || s.Age > maxReadingAge {
 		score += unknownPenalty * float64(req.PenaltyScale)
 	}
@@ -138,7 +140,11 @@
 		Index: index, CompletionTime: completion, Load: s.Estimate, Slowdown: max(s.Slowdown, 1), HasCapacity: hasCapacity, Found: true, score: score,
 		Known: s.Known && s.Age <= maxReadingAge,
 	}
-	if !c.Best.Found || score < c.Best.score {
+	if !c.BestByReading.Found || score < c.BestByReading.score {
+		c.BestByReading = o
+	}
+	score += aged
+	if o.score = score; !c.Best.Found || score < c.Best.score {
 		c.Best = o
 	}
 	if hasCapacity && (!c.BestWithCapacity.Found || score < c.BestWithCapacity.score) {
@@ -200,7 +206,22 @@
 // capacity, but never queued, since it would make other requests miss their
 // objectives. A request that yields to other accounts is refused while all servers together
 // are too occupied: a single one may look free at some moment, since readings are late.
+//
+// What an old reading promises is not believed for the order of the servers, but it is no
+// reason to refuse a request either.
 func Admit(c Choice, req Requirements) (Option, Admission) {
+	o, admission := c.admit(req)
+	if admission == Send || !c.BestByReading.Found {
+		return o, admission
+	}
+	c.Best = c.BestByReading
+	if byReading, admission := c.admit(req); admission == Send {
+		return byReading, Send
+	}
+	return o, admission
+}
+
+func (c *Choice) admit(req Requirements) (Option, Admission) {
 	switch {
 	case req.SpareCapacityOnly && (!c.Best.HasCapacity || c.Best.CompletionTime > req.Objective):
 		return c.Best, AtCapacity
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -200,3 +200,21 @@
 	t.Logf("requests by slots: %v", chosen)
 	is.True(chosen[4] > 3*chosen[2]/2 && chosen[4] < 3*chosen[2])
 }
+
+// TestOldReadingIsNoRefusal guards against a request that is refused because the only servers
+// known to be slow are preferred to one that looks free by an old reading.
+func TestOldReadingIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	req := Requirements{
+		Work: 200 * ms, Objective: 300 * ms, TotalObjective: 300 * ms, PenaltyScale: 300 * ms, TimeLeft: time.Second, Urgency: 1,
+		Typical: 600 * ms,
+	}
+	var c Choice
+	c.Consider(0, Candidate{Estimate: load.Estimate{Known: true, Slots: 2, Speed: 1, Slowdown: 1, Age: 300 * ms}, Local: true}, req, rng)
+	c.Consider(1, Candidate{Estimate: load.Estimate{Known: true, Slots: 2, Speed: 1.8, Slowdown: 1, Age: ms}, Local: true, Queried: true}, req, rng)
+	is.Equal(c.Best.Index, 1)
+	o, admission := Admit(c, req)
+	is.Equal(admission, Send)
+	is.Equal(o.Index, 0)
+}
