--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -222,6 +222,26 @@
 	is.True(part <= 1)
 }
 
+// TestHostsAddedWhileCutOff guards against groups that each take the hosts that were added
+// on their side for a part of the fleet that the other side lacks.
+func TestHostsAddedWhileCutOff(t *testing.T) {
+	is := is.New(t)
+	s := newSim(rand.New(rand.NewPCG(8, 3)), simConfig{hosts: 20, dataCentres: 2})
+	a := s.addAccount("huka270", Limit{128, 0}, func(time.Duration) float64 { return 1280 }, zipf(0, 0))
+	s.settle()
+	s.load()
+	s.cut["z0"] = true
+	for range 60 {
+		h := s.addHost()
+		h.limits = s.hosts[0].limits
+		s.after(s.between(500*time.Millisecond, 2*time.Second), h.start)
+	}
+	s.runUntil(s.now + 12*time.Second)
+	part, at := a.worst()
+	t.Logf("%.3f of the bound, from %v", part, at)
+	is.True(part <= 1)
+}
+
 // steady returns a fleet of 100 hosts in 4 data centres without faults that has run for
 // three seconds.
 func steady(seed uint64) *sim {
