--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -31,8 +31,8 @@
 	counts    Counts
 }
 
-// accountState is what a Node keeps of one account: some 300 bytes, whatever the number
-// of hosts.
+// accountState is what a Node keeps of one account: 0.9 KB with its bucket, whatever the
+// number of hosts.
 type accountState struct {
 	shared *Account
 	limit  Limit
@@ -68,6 +68,9 @@
 
 // Configure replaces the limits of the accounts and returns the state that requests share.
 func (n *Node) Configure(now clock.Time, limits map[Key]Limit) map[Key]*Account {
+	if len(n.accounts) == 0 {
+		n.lastRun = now // nothing calls a node without accounts
+	}
 	shared := make(map[Key]*Account, len(limits))
 	for k, l := range limits {
 		s := n.accounts[k]
