End an assumed slow start by a reading of the probing host

Cause: a host that does not probe a server kept its assumption that the server is cold for 30 s. If the probing host failed or was paused meanwhile, the next one started the slow start of a warm server anew, and all hosts held back.

Change: a reading of the probing host that reports no slow start ends the assumption. A host that has not decided what it believes sends no readings of servers that it assumes to be cold, since these would say that they are warm.

Result: TestProbingHostConfirmsWarmServer fails without the change.

--- a/internal/controller/measures/heartbeats.go
+++ b/internal/controller/measures/heartbeats.go
@@ -62,7 +62,10 @@
 		if len(b.Readings) == maxReadings {
 			break
 		}
-		if c.reportsSlowStart(s, now) {
+		if !c.settled(s) {
+			continue
+		}
+		if s.ReportsRunningOnly && s.Load.SlowStart.Cold(now) {
 			b.Readings = append(b.Readings, coldStartReading(s, now))
 		} else if r := s.Load.Reading(); r != nil && now.Sub(r.At) < maxReadingAge {
 			b.Readings = append(b.Readings, toWire(s.Name, r, now))
@@ -93,10 +96,10 @@
 // the servers of the local data centre.
 func (c *Controller) AddToDigest(now clock.Time, b *wire.Heartbeat) {
 	for _, s := range c.cfg.Store.Load().Servers.ByName {
-		if !s.Local || s.Leaving || len(b.Readings) == maxReadings {
+		if !s.Local || s.Leaving || len(b.Readings) == maxReadings || !c.settled(s) {
 			continue
 		}
-		if (*c.assigned.Load())[s.Name] != nil && c.reportsSlowStart(s, now) {
+		if s.ReportsRunningOnly && s.Load.SlowStart.Cold(now) && (*c.assigned.Load())[s.Name] != nil {
 			b.Readings = append(b.Readings, coldStartReading(s, now))
 		} else if r := s.Load.Reading(); r != nil && now.Sub(r.At) < maxDigestReadingAge {
 			b.Readings = append(b.Readings, toWire(s.Name, r, now))
@@ -117,6 +120,9 @@
 		if s.ReportsRunningOnly && w.ColdMillis > 0 && (*c.assigned.Load())[s.Name] != nil && !s.Load.SlowStart.Cold(now) {
 			s.Load.SlowStart.Begin(now) // another host noticed a start
 		}
+		if s.ReportsRunningOnly && w.ColdMillis == 0 {
+			s.Load.SlowStart.ConfirmWarm() // the host that probes it reports no slow start
+		}
 	}
 	for _, o := range b.Outcomes {
 		s := c.find(o.Server)
@@ -131,11 +137,11 @@
 	}
 }
 
-// reportsSlowStart reports whether this host, which probes the server, reports it as cold.
-// A process that may yet learn that the server is warm does not report an assumption.
-func (c *Controller) reportsSlowStart(s *state.Server, now clock.Time) bool {
-	slow := &s.Load.SlowStart
-	return s.ReportsRunningOnly && slow.Cold(now) && (!slow.Assumed() || c.cfg.Settled == nil || c.cfg.Settled())
+// settled reports whether this process may say whether a server is cold. One that may yet
+// learn that the server is warm says nothing of it: neither that it is cold, nor a reading,
+// which would say that it is warm.
+func (c *Controller) settled(s *state.Server) bool {
+	return !s.Load.SlowStart.Assumed() || c.cfg.Settled == nil || c.cfg.Settled()
 }
 
 // coldStartReading returns a reading that marks a server as cold since a start at
--- a/internal/controller/measures/measures_test.go
+++ b/internal/controller/measures/measures_test.go
@@ -224,11 +224,38 @@
 	}
 	b0.Load.SlowStart.Assume(now)
 	b1.Load.SlowStart.Assume(now)
+	b0.Load.Observe(load.Reading{At: now, Slots: 4, Speed: 1})
 	is.Equal(len(reported()), 0)
 	settled = true
 	is.Equal(reported(), []uint32{wire.ServerHash("b0")})
 }
 
+// TestProbingHostConfirmsWarmServer guards against a host that takes over a warm server and
+// starts it slowly, because it assumed so when it started, against one that takes readings
+// of a host that assumes the same for news, and against one that treats a cold server as
+// warm meanwhile.
+func TestProbingHostConfirmsWarmServer(t *testing.T) {
+	is := is.New(t)
+	now, settled := clock.Time(time.Second), false
+	a, b := newHost(clock.NewMonotonic(), "eh1", 1, &fakeTransport{}), newHost(clock.NewMonotonic(), "eh2", 1, &fakeTransport{})
+	a.cfg.Settled = func() bool { return settled }
+	probed, other := &a.server("b0").Load.SlowStart, &b.server("b0").Load.SlowStart
+	a.assigned.Store(&map[string]*state.Server{"b0": a.server("b0")})
+	probed.Assume(now)
+	other.Assume(now)
+	a.server("b0").Load.Observe(load.Reading{At: now, Slots: 4, Speed: 1})
+	a.sendHeartbeat(now, b)
+	is.True(other.Cold(now)) // a has not decided what it believes
+	settled = true
+	a.sendHeartbeat(now, b)
+	is.True(other.Cold(now)) // a reports that it is cold
+	for range 48 {
+		probed.RecordSuccess(4)
+	}
+	a.sendHeartbeat(now, b)
+	is.True(!other.Cold(now))
+}
+
 // TestColdServersAreSharedEvenly guards against a host of a cold fleet that may send to no
 // server, while other hosts of its data centre may send to several.
 func TestColdServersAreSharedEvenly(t *testing.T) {
