--- a/internal/controller/accountloads/accountloads.go
+++ b/internal/controller/accountloads/accountloads.go
@@ -6,8 +6,10 @@
 
 import (
 	"expvar"
+	"math"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/anvilfront/anvilfront/internal/accountload"
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -24,12 +26,17 @@
 	// maxCountsPerHeartbeat bounds the counts in one heartbeat. A host that gets three
 	// requests a second sends one in most heartbeats.
 	maxCountsPerHeartbeat = 16
+	// judgeInterval is the time between two judgements. A host that measures sends some
+	// thirty heartbeats a second.
+	judgeInterval = 200 * time.Millisecond
+	// maxHotPerHeartbeat bounds the hot accounts in one heartbeat. They take turns.
+	maxHotPerHeartbeat = 4
 	// maxCount bounds the count of one account that is believed, since a count is not more
 	// than a host can serve between two heartbeats.
 	maxCount = 1000
 	// countBytes is the size of an encoded count. A heartbeat gets none that would exceed
 	// wire.MaxHeartbeat, taking its other parts at their largest.
-	countBytes, readingBytes, outcomeBytes, crashBytes, otherBytes = 11, 32, 16, 90, 250
+	countBytes, readingBytes, outcomeBytes, crashBytes, otherBytes = 11, 32, 16, 90, 320
 )
 
 // Config holds the dependencies of a Controller.
@@ -48,8 +55,9 @@
 	mu      sync.Mutex // guards what follows; not taken on the path of a request
 	table   accountload.Table
 	pending map[uint32]int // counts that are not sent yet
+	judged  clock.Time     // when the accounts were judged last
 
-	dropped, hotGauge *expvar.Int
+	dropped, hotGauge, known *expvar.Int
 }
 
 // New returns a controller that has seen no requests.
@@ -57,6 +65,7 @@
 	c := &Controller{
 		cfg: cfg, requests: make(chan uint32, queueLength), pending: map[uint32]int{},
 		dropped: cfg.Counters.Int("accountloads.dropped"), hotGauge: cfg.Counters.Int("accountloads.hot"),
+		known: cfg.Counters.Int("accountloads.known"),
 	}
 	c.hot.Store(&map[uint32]float64{})
 	return c
@@ -96,8 +105,32 @@
 			b.Accounts = append(b.Accounts, wire.AccountCount{Account: account, Requests: uint16(min(n, maxCount))})
 			delete(c.pending, account)
 		}
+		c.addHot(b, room-len(b.Accounts))
 	}
+	if now.Sub(c.judged) >= judgeInterval {
+		c.judge(now)
+	}
+}
+
+// addHot adds some of the accounts that this host judges to be hot, for hosts that are too
+// young to judge. The order of a map makes them take turns.
+func (c *Controller) addHot(b *wire.Heartbeat, room int) {
+	if !c.table.Judges() {
+		return
+	}
+	for account, heat := range *c.hot.Load() {
+		if len(b.HotAccounts) >= min(room, maxHotPerHeartbeat) {
+			return
+		}
+		b.HotAccounts = append(b.HotAccounts, wire.HotAccount{Account: account, Heat: uint16(min(10*heat, math.MaxUint16))})
+	}
+}
+
+// judge publishes the accounts that send many times their usual load.
+func (c *Controller) judge(now clock.Time) {
+	c.judged = now
 	hot := c.table.Hot(now)
+	c.known.Set(int64(c.table.Len()))
 	if len(hot) == 0 && len(*c.hot.Load()) == 0 {
 		return
 	}
@@ -123,7 +156,7 @@
 
 // Received implements mesh.HeartbeatHandler.
 func (c *Controller) Received(now clock.Time, b *wire.Heartbeat) {
-	if len(b.Accounts) == 0 || b.From.DataCentre != c.cfg.DataCentre {
+	if len(b.Accounts)+len(b.HotAccounts) == 0 || b.From.DataCentre != c.cfg.DataCentre {
 		return
 	}
 	c.mu.Lock()
@@ -131,4 +164,7 @@
 	for _, count := range b.Accounts[:min(len(b.Accounts), maxCountsPerHeartbeat)] {
 		c.table.Add(now, count.Account, min(int(count.Requests), maxCount))
 	}
+	for _, h := range b.HotAccounts[:min(len(b.HotAccounts), maxHotPerHeartbeat)] {
+		c.table.Report(now, h.Account, float64(h.Heat)/10)
+	}
 }
