Send held changes apart from changes, and mend an inferred copy bound

While entries are written again after a change of era, every page of changes carried all held changes, with the held configuration among them, and waited for one of the three turns of a large item. Held changes now go with the whole content or alone, to a host that has all changes of the era. Removals of items that the copy does not list either stay on their host until they matter. The packer keeps two results, since the held and the listed configuration are sent in turn.

The bound of the copy was also inferred from removals that a replica knew before it had read the whole content again.

--- a/internal/controller/feeds/pack.go
+++ b/internal/controller/feeds/pack.go
@@ -17,25 +17,29 @@
 
 var errUnpackedTooLarge = errors.New("unpacked item is too large")
 
-// packer compresses large items, and keeps the newest result: there is one large item,
-// the configuration. It is not safe for concurrent use.
-type packer struct {
+// packer compresses large items, and keeps the two newest results: there is one large item,
+// the configuration, and another version of it may be held. It is not safe for concurrent use.
+type packer struct{ newestFirst [2]packedItem }
+
+type packedItem struct {
 	key      string
 	position feed.Position
 	packed   feed.Packed
 }
 
 func (p *packer) pack(i feed.Item) feed.Packed {
-	if p.key == i.Key && p.position == i.Position() {
-		return p.packed
+	for _, known := range p.newestFirst {
+		if known.key == i.Key && known.position == i.Position() {
+			return known.packed
+		}
 	}
 	var out bytes.Buffer
 	w, _ := flate.NewWriter(&out, flate.DefaultCompression) // fails only for an unknown level
 	_, _ = w.Write(i.Value)                                 // a bytes.Buffer never fails
 	_ = w.Close()
-	p.key, p.position = i.Key, i.Position()
-	p.packed = feed.Packed{Data: out.Bytes(), Digest: xxhash.Sum64(out.Bytes())}
-	return p.packed
+	packed := feed.Packed{Data: out.Bytes(), Digest: xxhash.Sum64(out.Bytes())}
+	p.newestFirst = [2]packedItem{{i.Key, i.Position(), packed}, p.newestFirst[0]}
+	return packed
 }
 
 // unpack reverses pack.
--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -21,8 +21,12 @@
 	next.era, next.copied = at.Era, copied
 	*r = *next
 	r.Replace(at.Revision, content)
+	r.removed = map[string]Item{}
 	for _, i := range known {
-		if current, listed := r.items[i.Key]; !listed || !r.supersedes(current, i) {
+		switch current, listed := r.items[i.Key]; {
+		case !listed && i.Gone:
+			r.removed[i.Key] = i // the copy of the next era may be older than this one
+		case !listed, !r.supersedes(current, i):
 			r.held.add(i, false)
 		}
 	}
@@ -51,7 +55,11 @@
 	if revision, ok := r.removals.revisions[key]; ok {
 		return Item{Key: key, Era: r.era, Revision: revision, Gone: true}, true
 	}
-	return r.listed(key)
+	if i, ok := r.listed(key); ok {
+		return i, true
+	}
+	i, ok := r.removed[key]
+	return i, ok
 }
 
 // maxHeldRemovals bounds the removals that a change of era leaves held. Those of the seconds
@@ -70,6 +78,11 @@
 			out = append(out, c.item)
 		}
 	}
+	for key, removed := range r.removed {
+		if i, ok := r.newest(key); ok && i.Gone && i.Position() == removed.Position() {
+			out = append(out, removed)
+		}
+	}
 	slices.SortFunc(out, func(a, b Item) int {
 		return cmp.Or(compareHeld(b, a), strings.Compare(a.Key, b.Key))
 	})
@@ -91,7 +104,8 @@
 // revision.
 func (r *Replica) removedSince(content []Item, copied uint64) (out []Item) {
 	for _, i := range content {
-		if _, ok := r.newest(i.Key); !ok && i.Revision <= min(r.revision, copied) {
+		known, ok := r.newest(i.Key)
+		if (!ok || known.Gone && known.Revision < i.Revision) && i.Revision <= min(r.revision, copied) {
 			out = append(out, Item{Key: i.Key, Era: r.era, Revision: r.revision, Gone: true, Copied: true})
 		}
 	}
@@ -115,6 +129,7 @@
 		revision := known.Revision
 		if !ok {
 			revision, ok = r.removals.revisions[i.Key]
+			ok = ok && r.complete(revision)
 		}
 		if ok && revision < i.Revision && i.Revision <= r.revision {
 			bound = min(bound, i.Revision-1)
@@ -123,6 +138,11 @@
 	return bound
 }
 
+// complete reports whether the replica had all changes of absent items after a revision.
+func (r *Replica) complete(revision uint64) bool {
+	return revision >= r.historyStart && !slices.ContainsFunc(r.gaps, func(g gap) bool { return g.end > revision })
+}
+
 // supersedes reports whether a change of the current era ends what a change of an older
 // era said of the same item: it was made after the copy, or is a copy of the older change
 // or of one after it. Of items with versions only the version counts.
@@ -236,6 +256,9 @@
 			all = all && i.Era >= r.era
 			continue
 		}
+		if removed, ok := r.removed[i.Key]; ok {
+			r.held.add(removed, false) // the other host may not know of it
+		}
 		r.held.add(i, i.Settled)
 		r.settle(i.Key)
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -34,6 +34,7 @@
 	era          uint64
 	copied       uint64 // changes of the era after this revision were made in it, others may come from the copy
 	held         heldChanges
+	removed      map[string]Item   // removals in older eras of items that the era does not list
 	version      func(Item) uint64 // nil: no item has a version
 	items        map[string]Item   // of the era
 	bytes        int               // of the keys and values of items
--- a/internal/feed/transfer.go
+++ b/internal/feed/transfer.go
@@ -49,11 +49,12 @@
 }
 
 // Reply contains a page of the changes after Request.After, or of the whole content, in
-// the order of keys. Held changes come first if the digests of the hosts differ.
+// the order of keys. Held changes come first if the digests of the hosts differ, with the
+// whole content or without changes.
 type Reply struct {
 	Era      uint64
 	Copied   uint64 // a revision that the copy from which the era began does not exceed
-	Held     uint64 // digest of the held changes of the replica
+	Held     uint64 // digest of the held changes of the replica; 0 if they are not sent with changes
 	Revision uint64 // the items are complete up to this revision
 	Full     bool   // the page is one of the whole content
 	Key      string // the page begins after this key
@@ -72,10 +73,15 @@
 	if full != q.Full {
 		q.Key, q.Part = "", Part{}
 	}
-	if q.Eras && q.Held != r.held.digest {
-		items = append(r.held.items(), items...)
+	reply := Reply{Era: r.era, Copied: r.copied, Revision: r.revision, Full: full, Key: q.Key}
+	// Not with changes of the same era: each of them may end a held change, and the held
+	// configuration would delay them.
+	if q.Eras && (after == 0 || after >= r.newestChange) {
+		reply.Held = r.held.digest
+		if q.Held != r.held.digest {
+			items = append(r.held.items(), items...)
+		}
 	}
-	reply := Reply{Era: r.era, Copied: r.copied, Held: r.held.digest, Revision: r.revision, Full: full, Key: q.Key}
 	size := 0
 	for _, i := range items {
 		switch {
