Bound what clients take up at the readiness endpoint

Cause: the readiness listener was an HTTP server with default limits: bodies of 4 MB in memory, no limit on connections, no timeouts. 500 clients took it to 502 to 1,243 MB or used up all descriptors, so that the host found no backend server either.

Bodies at the readiness endpoint are bounded at 1 KiB, heads at 4 KiB, reads and writes at 3 s. The listener for messages between hosts takes at most a fifth of the descriptors.

--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -31,7 +30,6 @@
 	"github.com/anvilfront/anvilfront/internal/feed"
 	"github.com/anvilfront/anvilfront/internal/filter"
 	"github.com/anvilfront/anvilfront/internal/filters"
-	"github.com/anvilfront/anvilfront/internal/listen"
 	"github.com/anvilfront/anvilfront/internal/metrics"
 	"github.com/anvilfront/anvilfront/internal/operator"
 	"github.com/anvilfront/anvilfront/internal/peer"
@@ -45,18 +43,10 @@
 	// maxBodyBytes bounds each body, since bodies are held in memory until they are
 	// sent.
 	maxBodyBytes = 8 << 20
-	// requestBodyShare is the share of the host's memory that the bodies of all requests
-	// may take up, and defaultRequestBodyBytes the same for a host without a memory limit.
-	requestBodyShare        = 0.35
-	defaultRequestBodyBytes = 32 << 20
 	// maxBufferedResponseBytes bounds the large responses that are being read. Their
 	// buffers grow by doubling, and with a copy they take a third of the memory of the
 	// smallest hosts.
 	maxBufferedResponseBytes = 16 << 20
-	// maxCallerConnections bounds the connections of callers. The smallest hosts
-	// have 4,100 file descriptors, and connections to backend servers take most of
-	// the rest.
-	maxCallerConnections = 2500
 	// backendIdleTimeout is shorter than the idle timeout of the backend servers,
 	// 10 s, so that they do not close idle connections first.
 	backendIdleTimeout = 8 * time.Second
@@ -138,7 +128,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	h.peerClient, h.peerServer = peer.NewClient(nil), peer.NewServer(peerListener)
+	h.peerClient, h.peerServer = peer.NewClient(nil), peer.NewServerWithConfig(peerListener, h.peerLimits())
 	peerAddress, err := netip.ParseAddrPort(s.Peer)
 	if err != nil {
 		return errors.Wrap(err, "parse the address for peers")
@@ -205,42 +195,6 @@
 	return seeds, nil
 }
 
-func (h *Host) assembleListeners() error {
-	s := h.settings
-	callerListener, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	h.callers = callers.New(callers.Config{
-		Listener: callerListener, Codec: h.adapter.Codec, Chain: h.chain(), Store: h.store, Clock: h.clock, Counters: h.counters,
-		Log: h.log.Named("callers"), MaxConnections: maxCallerConnections, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: requestBodyBytes(s), Observe: h.observe,
-	})
-	if h.listeners.ready, err = listen.TCP(s.Ready); err != nil {
-		return errors.Wrap(err, "listen for readiness checks")
-	}
-	h.ready = &fasthttp.Server{Handler: h.adapter.Ready(h.Ready), NoDefaultServerHeader: true}
-	if h.listeners.operator, err = listen.TCP(s.Operator); err != nil {
-		return errors.Wrap(err, "listen for operators")
-	}
-	h.publishGauges()
-	h.counters.Set("callers.body_bytes", expvar.Func(func() any { return h.callers.BodyBytes() }))
-	h.counters.Set("callers.active", expvar.Func(func() any { return h.callers.InFlight() }))
-	h.counters.Set("backend.connections", expvar.Func(func() any { return h.transport.Stats() }))
-	h.operator = operator.New(operator.Config{
-		Log:   h.log,
-		Ready: func() (bool, string) { return h.Ready(), "no configuration, or stopping" },
-		Vars:  h.counters.Map().String,
-	})
-	return nil
-}
-
-func requestBodyBytes(s *settings.Settings) int64 {
-	if s.MemoryMegabytes == 0 {
-		return defaultRequestBodyBytes
-	}
-	return int64(requestBodyShare * float64(s.MemoryMegabytes<<20))
-}
-
 // Ready reports whether the balancer in front should send callers to this host.
 func (h *Host) Ready() bool { return !h.leaving.Load() && h.feeds.Ready() }
 
--- /dev/null
+++ b/internal/feedhost/listeners.go
@@ -0,0 +1,124 @@
+package feedhost
+
+import (
+	"expvar"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/anvilfront/anvilfront/internal/admission"
+	"github.com/anvilfront/anvilfront/internal/callers"
+	"github.com/anvilfront/anvilfront/internal/listen"
+	"github.com/anvilfront/anvilfront/internal/operator"
+	"github.com/anvilfront/anvilfront/internal/peer"
+	"github.com/anvilfront/anvilfront/internal/settings"
+)
+
+const (
+	// requestBodyShare is the share of the host's memory that the bodies of all requests
+	// may take up, and defaultRequestBodyBytes the same for a host without a memory limit.
+	requestBodyShare        = 0.35
+	defaultRequestBodyBytes = 32 << 20
+	// maxCallerConnections bounds the connections of callers. The smallest hosts
+	// have 4,100 file descriptors, and connections to backend servers take most of
+	// the rest.
+	maxCallerConnections = 2500
+	// Limits of the readiness endpoint. A check is a request of a few hundred bytes without
+	// a body, about once a second.
+	readyBodyBytes    = 1 << 10
+	readyHeadBytes    = 4 << 10
+	readyIOTimeout    = 3 * time.Second
+	readyIdleTimeout  = 30 * time.Second
+	peerDescriptors   = 0.2 // share of the file descriptors for connections from other hosts
+	serverConcurrency = 2   // workers per connection: one that was closed for another may still end
+)
+
+func (h *Host) assembleListeners() error {
+	s := h.settings
+	callerListener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	h.callers = callers.New(callers.Config{
+		Listener: callerListener, Codec: h.adapter.Codec, Chain: h.chain(), Store: h.store, Clock: h.clock, Counters: h.counters,
+		Log: h.log.Named("callers"), MaxConnections: maxCallerConnections, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: requestBodyBytes(s), Observe: h.observe,
+	})
+	if err := h.assembleReadiness(); err != nil {
+		return err
+	}
+	operatorListener, err := listen.TCP(s.Operator)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	h.listeners.operator = h.bounded(operatorListener, "operator", s.OperatorConnections)
+	h.publishGauges()
+	h.counters.Set("callers.body_bytes", expvar.Func(func() any { return h.callers.BodyBytes() }))
+	h.counters.Set("callers.active", expvar.Func(func() any { return h.callers.InFlight() }))
+	h.counters.Set("backend.connections", expvar.Func(func() any { return h.transport.Stats() }))
+	h.operator = operator.New(operator.Config{
+		Log: h.log, MaxConnections: serverConcurrency * s.OperatorConnections,
+		Ready: func() (bool, string) { return h.Ready(), "no configuration, or stopping" },
+		Vars:  h.counters.Map().String,
+	})
+	return nil
+}
+
+func (h *Host) assembleReadiness() error {
+	l, err := listen.TCP(h.settings.Ready)
+	if err != nil {
+		return errors.Wrap(err, "listen for readiness checks")
+	}
+	h.listeners.ready = h.bounded(l, "ready", h.settings.ReadyConnections)
+	h.ready = &fasthttp.Server{
+		Handler: h.adapter.Ready(h.Ready), NoDefaultServerHeader: true, Concurrency: serverConcurrency * h.settings.ReadyConnections,
+		MaxRequestBodySize: readyBodyBytes, ReadBufferSize: readyHeadBytes,
+		ReadTimeout: readyIOTimeout, WriteTimeout: readyIOTimeout, IdleTimeout: readyIdleTimeout,
+		Logger: zap.NewStdLog(h.log.Named("ready")),
+	}
+	return nil
+}
+
+// bounded returns a listener with at most limit connections. One address may have them all:
+// a connection that does not progress is closed for a new one.
+func (h *Host) bounded(l net.Listener, name string, limit int) net.Listener {
+	log := h.log.Named(name)
+	return listen.Bounded(l, listen.Bounds{
+		Connections: admission.NewConnections(limit, 1, h.clientPace()), Clock: h.clock,
+		Refused: h.counters.Limit(name+".connections_refused", "Connections are closed unread, since all allowed ones are in use.", log),
+		Closed:  h.counters.Limit(name+".connections_closed", "Connections that do not progress are closed for new ones.", log),
+	})
+}
+
+func (h *Host) clientPace() admission.Pace {
+	return admission.Pace{BytesPerSecond: h.settings.MinClientRate, After: time.Duration(h.settings.SlowClientAfter)}
+}
+
+func requestBodyBytes(s *settings.Settings) int64 {
+	if s.MemoryMegabytes == 0 {
+		return defaultRequestBodyBytes
+	}
+	return int64(requestBodyShare * float64(s.MemoryMegabytes<<20))
+}
+
+// peerLimits returns the limits of the listener for messages between hosts.
+func (h *Host) peerLimits() peer.ServerConfig {
+	limits := peer.ServerConfig{MaxConnections: h.settings.PeerConnections}
+	if n := descriptorLimit(); n > 0 {
+		limits.MaxConnections = max(1, min(limits.MaxConnections, int(peerDescriptors*float64(n))))
+	}
+	return limits
+}
+
+// descriptorLimit returns how many files this process may have open, or 0 if the system does
+// not report it.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, 1<<30))
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,7 +16,7 @@
 	"github.com/anvilfront/anvilfront/internal/operator/status"
 )
 
-// Config holds the sources of the listener's data. All fields are required and must
+// Config holds the sources of the listener's data. The functions are required and must
 // be safe for concurrent use. Collector provides Status and Explain.
 type Config struct {
 	Log     *zap.Logger
@@ -25,11 +25,14 @@
 	Status  func() *status.Status
 	Explain func(method, host, path string) *status.Explanation
 	Alerts  func() []status.Alert
+	// MaxConnections is the number of connections that are served at the same time; 0 selects
+	// the default.
+	MaxConnections int
 }
 
 // Limits of the listener. Operators and health checks need few connections.
 const (
-	maxConnections = 64
+	maxConnections = 64 // default
 	ioTimeout      = 5 * time.Second
 	idleTimeout    = time.Minute
 )
@@ -43,8 +46,11 @@
 // New returns a server that takes its data from cfg.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg}
+	if cfg.MaxConnections == 0 {
+		cfg.MaxConnections = maxConnections
+	}
 	s.server = &fasthttp.Server{
-		Handler: s.handle, Name: "anvilfront", Concurrency: maxConnections, MaxRequestBodySize: 1 << 10,
+		Handler: s.handle, Name: "anvilfront", Concurrency: cfg.MaxConnections, MaxRequestBodySize: 1 << 10,
 		ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, IdleTimeout: idleTimeout,
 		Logger: zap.NewStdLog(cfg.Log.Named("operator")), NoDefaultServerHeader: true,
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -108,6 +108,33 @@
 	if m := c.s.MemoryMegabytes; m < 0 {
 		c.report("memory_megabytes", "is %d, must not be negative", m)
 	}
+	c.clientLimits()
+}
+
+// clientLimits checks the limits on what clients may use of a host.
+func (c *checker) clientLimits() {
+	s := c.s
+	c.intRange("ready_connections", s.ReadyConnections, 1, 1<<16)
+	c.intRange("operator_connections", s.OperatorConnections, 1, 1<<16)
+	c.intRange("peer_connections", s.PeerConnections, 1, 1<<16)
+	for _, share := range []struct {
+		key   string
+		value float64
+	}{
+		{"body_memory_share", s.BodyMemoryShare}, {"request_memory_share", s.RequestMemoryShare},
+		{"connection_memory_share", s.ConnectionMemoryShare}, {"descriptor_share", s.DescriptorShare}, {"client_share", s.ClientShare},
+	} {
+		if !(share.value > 0 && share.value <= 1) {
+			c.report(share.key, "is %v, must be above 0 and at most 1", share.value)
+		}
+	}
+	if sum := s.BodyMemoryShare + s.RequestMemoryShare + s.ConnectionMemoryShare; sum > 0.8 {
+		c.report("body_memory_share", "and request_memory_share and connection_memory_share are %v together, must be at most 0.8", sum)
+	}
+	if s.MinClientRate < 1 || s.MinClientRate > 1<<30 {
+		c.report("min_client_rate", "is %d, must be from 1 to %d", s.MinClientRate, 1<<30)
+	}
+	c.durationRange("slow_client_after", s.SlowClientAfter, time.Millisecond, 10*time.Minute)
 }
 
 // CheckFeedHost returns an error that names the first setting that a host
