Admit connections and requests of callers by their memory

Cause: a connection of a caller cost a read buffer of 16 KB and a write buffer from its first moment; heads, parsed fields, waiting responses and connections were not counted; nothing bounded the connections of one client. 500 clients took a host of 64 MB to 197 MB and to all of its 512 descriptors, so that it found no backend server.

Change: callers' connections keep to a share of the host's memory and descriptors; a new one takes the place of one that does not progress. A request is admitted by an estimate from the size and the lines of its head before it is parsed; a refusal (503 `memory`, 429 `client_limit`) says "not run" and is true. A connection has several requests in flight only within a thirty-second of the memory for requests. From three quarters of it on, slow connections are closed. The read buffer is 4 KB and grows for a large head; write buffers are shared. Bodies get 0.30 of the host's memory, 0.35 before, to make room for the rest. Each limit is a setting with a counter and a log line every 10 s.

--- a/internal/admission/connections.go
+++ b/internal/admission/connections.go
@@ -52,19 +52,17 @@
 // Running reports that a request has arrived as a whole.
 func (c *Connection) Running() { c.running.Add(1); c.idle.Store(0); c.reading.Store(0) }
 
-// Writing reports that a response is sent to the client.
-func (c *Connection) Writing(now clock.Time) { c.writing.Store(max(1, int64(now))) }
-
-// Wrote reports that the client has taken a part of a response.
-func (c *Connection) Wrote(bytes int, now clock.Time) {
-	if since := c.writing.Load(); since != 0 {
-		c.writing.Store(int64(c.pace.advance(clock.Time(since), now, bytes)))
-	}
+// Writing reports that bytes of a response are handed to the client. The least rate allows
+// for their time.
+func (c *Connection) Writing(bytes int, now clock.Time) {
+	c.writing.Store(max(1, int64(now.Add(c.pace.allowed(bytes)))))
 }
 
-// Ended reports that a request has ended and its response, if any, is written.
+// Written reports that the client has taken them.
+func (c *Connection) Written() { c.writing.Store(0) }
+
+// Ended reports that a request has ended.
 func (c *Connection) Ended(now clock.Time) {
-	c.writing.Store(0)
 	if !c.served.Load() {
 		c.served.Store(true)
 	}
--- a/internal/admission/eviction.go
+++ b/internal/admission/eviction.go
@@ -14,12 +14,16 @@
 	After time.Duration
 }
 
+// allowed returns the time that the least rate allows for so many bytes.
+func (p Pace) allowed(bytes int) time.Duration {
+	return time.Duration(int64(bytes) * int64(time.Second) / max(1, p.BytesPerSecond))
+}
+
 // advance returns the new start of a transfer of which more bytes have passed: it moves
 // forward by the time that the least rate allows for them, and never beyond now, so that a
 // fast start does not excuse a later stop.
 func (p Pace) advance(since, now clock.Time, bytes int) clock.Time {
-	allowed := time.Duration(int64(bytes) * int64(time.Second) / max(1, p.BytesPerSecond))
-	return max(1, min(now, since.Add(allowed)))
+	return max(1, min(now, since.Add(p.allowed(bytes))))
 }
 
 // EvictionReason is why a connection is closed to make room. Smaller values are closed
--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/anvilfront/anvilfront/internal/admission"
 	"github.com/anvilfront/anvilfront/internal/bodies"
 )
 
@@ -16,10 +17,41 @@
 // fit: about as long as others take to be received and handled.
 const memoryRetryAfter = time.Second
 
-// requestBody is the body of a request, and its memory until the request has ended.
+// requestBody is the body of a request, and the memory of the request until it has ended.
 type requestBody struct {
 	data   []byte
 	memory bodies.Reservation
+	head   requestMemory
+}
+
+// release gives back the memory of the request.
+func (b *requestBody) release() {
+	b.memory.Release()
+	b.head.release()
+}
+
+// requestMemory is the memory of a request without its body. The zero value holds none.
+type requestMemory struct {
+	conn  *conn
+	bytes int64
+}
+
+// release gives back the memory.
+func (m *requestMemory) release() {
+	if m.conn == nil {
+		return
+	}
+	m.conn.inFlightBytes.Add(-m.bytes)
+	m.conn.server.Requests.Give(m.conn.admitted.Client, m.bytes)
+	m.conn = nil
+}
+
+// releaseRequest returns a message to its pool, but for a large one, whose fields would stay
+// in memory.
+func releaseRequest(req *fasthttp.Request, cost int64) {
+	if cost <= admission.LargeRequest {
+		fasthttp.ReleaseRequest(req)
+	}
 }
 
 // readBody reads the body of a request whose header was read. The memory of a body of stated
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/anvilfront/anvilfront/internal/admission"
 	"github.com/anvilfront/anvilfront/internal/bodies"
 	"github.com/anvilfront/anvilfront/internal/clock"
 	"github.com/anvilfront/anvilfront/internal/filter"
@@ -59,9 +60,11 @@
 	Clock            clock.Clock
 	Counters         *metrics.Counters
 	Log              *zap.Logger
-	MaxConnections   int   // further connections are closed unread
-	MaxBufferedBytes int64 // memory of all bodies, counted from their first byte; a request beyond it is refused
-	MaxBodyBytes     int   // upper bound of the configured body limit, since bodies are held in memory
+	Connections      *admission.Connections // open connections; a further one takes the place of another, or is closed unread
+	Requests         *admission.Share       // memory of heads, fields and waiting responses
+	PipelineBytes    int64                  // of Requests, for one connection with several requests in flight
+	MaxBufferedBytes int64                  // memory of all bodies, counted from their first byte; a request beyond it is refused
+	MaxBodyBytes     int                    // upper bound of the configured body limit, since bodies are held in memory
 	// Observe is called for each finished request. It must not block.
 	Observe func(x *filter.Exchange, out *filter.Outcome)
 }
@@ -71,7 +74,6 @@
 // and does not watch the connection meanwhile.
 type Server struct {
 	Config
-	openConnections   atomic.Int64
 	inFlight          atomic.Int64
 	memory            *bodies.Account // of the bodies of requests
 	keepAliveDisabled atomic.Bool     // each response closes its connection
@@ -81,6 +83,7 @@
 	panics            *expvar.Int   // requests whose handling, reading or writing panicked
 	refusedBodies     *expvar.Int   // requests refused because the bodies in memory leave no room
 	brokenOff         *expvar.Int   // responses that broke off after their first part was forwarded
+	limitLog          limitLog
 
 	mu    sync.Mutex // guards conns; taken once per connection, not per request
 	conns map[*conn]struct{}
@@ -92,7 +95,7 @@
 	return &Server{
 		Config: c, memory: bodies.NewAccount(c.MaxBufferedBytes), conns: map[*conn]struct{}{}, idle: make(chan struct{}),
 		panics: c.Counters.Int("callers.panics"), brokenOff: c.Counters.Int("callers.responses_broken_off"),
-		refusedBodies: c.Counters.Int("callers.bodies_refused"),
+		refusedBodies: c.Counters.Int("callers.bodies_refused"), limitLog: newLimitLog(c.Counters, c.Log),
 	}
 }
 
@@ -105,7 +108,6 @@
 
 // Serve accepts connections until ctx has ended and the listener is closed.
 func (s *Server) Serve(ctx context.Context) {
-	refused := s.Counters.Int("callers.connections_refused")
 	for {
 		netConn, err := s.Listener.Accept()
 		if err != nil {
@@ -118,13 +120,11 @@
 				continue
 			}
 		}
-		if s.openConnections.Add(1) > int64(s.MaxConnections) {
-			s.openConnections.Add(-1)
-			refused.Add(1)
+		c := newConn(s, netConn)
+		if !s.admitConnection(c) {
 			_ = netConn.Close()
 			continue
 		}
-		c := newConn(s, netConn)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
@@ -195,7 +195,7 @@
 }
 
 func (s *Server) remove(c *conn) {
-	s.openConnections.Add(-1)
+	s.Connections.Done(c.admitted)
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -15,8 +16,10 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/anvilfront/anvilfront/internal/admission"
 	"github.com/anvilfront/anvilfront/internal/bodies"
 	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/listen"
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
@@ -27,11 +30,16 @@
 	server  *Server
 	netConn net.Conn
 	caller  string // IP address
+	address netip.Addr
+	input   io.Reader // netConn, with reports to admitted
 	r       *bufio.Reader
-	w       *bufio.Writer
 	ctx     context.Context // canceled when the caller disconnects
 	cancel  context.CancelFunc
 
+	admitted      *admission.Connection
+	firstReader   *bufio.Reader // r, but while a large head is read
+	inFlightBytes atomic.Int64  // memory of the requests in flight, without bodies
+
 	// newestRequest is the number of the newest accepted request. It is negative once
 	// a response announces to the caller that the connection closes.
 	newestRequest atomic.Int64
@@ -42,11 +50,12 @@
 }
 
 func newConn(s *Server, netConn net.Conn) *conn {
-	c := &conn{server: s, netConn: netConn, pipelineSlots: make(chan struct{}, maxPipelined)}
-	c.r = bufio.NewReaderSize(netConn, max(minReadBufferBytes, s.limits().HeaderBytes))
-	c.w = bufio.NewWriter(callerWriter{netConn})
-	if a, ok := netConn.RemoteAddr().(*net.TCPAddr); ok {
-		c.caller = a.IP.String()
+	c := &conn{server: s, netConn: netConn, address: listen.RemoteAddress(netConn), pipelineSlots: make(chan struct{}, maxPipelined)}
+	c.input = callerReader{c}
+	c.firstReader = bufio.NewReaderSize(c.input, minReadBufferBytes)
+	c.r = c.firstReader
+	if c.address.IsValid() {
+		c.caller = c.address.String()
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -132,10 +141,22 @@
 func (c *conn) readOne(limits manifest.Limits) (last, graceful bool) {
 	body := requestBody{memory: bodies.Reservation{Account: c.server.memory}}
 	defer func() { body.memory.Release() }() // unless the request has taken it over
-	req := fasthttp.AcquireRequest()
+	c.admitted.Reading(c.server.Clock.Now())
 	_ = c.netConn.SetReadDeadline(time.Now().Add(time.Duration(limits.HeaderTime)))
+	cost := c.awaitHead(limits)
+	if c.inFlightBytes.Load() > 0 {
+		c.awaitPipelineRoom(cost)
+		_ = c.netConn.SetReadDeadline(time.Now().Add(time.Duration(limits.HeaderTime)))
+	}
+	if out := c.admitRequest(cost); out != nil {
+		c.start(nil, requestBody{}, out, true, false)
+		return true, true
+	}
+	held := requestMemory{c, cost}
+	defer func() { held.release() }() // as for body
+	req := fasthttp.AcquireRequest()
 	if out := c.readRequest(req, limits, &body); out != nil {
-		fasthttp.ReleaseRequest(req)
+		releaseRequest(req, cost)
 		if out.Reason == verdict.ReasonCallerGone {
 			return true, false
 		}
@@ -148,7 +169,7 @@
 	closeConn := req.ConnectionClose() || c.server.keepAliveDisabled.Load()
 	chunks := req.Header.IsHTTP11()
 	sequential := !req.Header.IsGet() && !req.Header.IsHead()
-	fasthttp.ReleaseRequest(req)
+	releaseRequest(req, cost)
 	if sequential && c.lastDone != nil {
 		<-c.lastDone // only idempotent requests run concurrently
 	}
@@ -157,7 +178,8 @@
 	}
 	c.pipelineSlots <- struct{}{}
 	started := body
-	body = requestBody{}
+	started.head = held
+	body, held = requestBody{}, requestMemory{}
 	c.start(r, started, refusal, closeConn, chunks)
 	return closeConn, true
 }
@@ -179,6 +201,8 @@
 	if c.r.Buffered() > 0 {
 		return nil
 	}
+	c.shrinkBuffer()
+	c.admitted.Idle(c.server.Clock.Now())
 	for {
 		_ = c.netConn.SetReadDeadline(time.Now().Add(time.Duration(limits.IdleTime)))
 		if c.server.draining.Load() {
@@ -261,9 +285,11 @@
 	previousDone, done, number := c.lastDone, make(chan struct{}), c.newestRequest.Load()
 	c.lastDone = done
 	c.server.inFlight.Add(1)
+	c.admitted.Running()
 	go func() {
 		defer c.server.requestDone()
-		defer body.memory.Release()
+		defer body.release()
+		defer func() { c.admitted.Ended(c.server.Clock.Now()) }()
 		defer func() {
 			if p := recover(); p != nil {
 				recovered := panics.NewRecovered(1, p)
@@ -319,63 +345,3 @@
 	}()
 	return c.server.Chain.Handle(c.ctx, x)
 }
-
-const (
-	// writeTimeout bounds writing writeBytes to a caller that does not read.
-	writeTimeout = 10 * time.Second
-	writeBytes   = 64 << 10
-)
-
-// callerWriter writes to a caller, with a timeout for each writeBytes.
-type callerWriter struct{ net.Conn }
-
-// Write implements io.Writer.
-func (w callerWriter) Write(p []byte) (written int, err error) {
-	for len(p) > 0 && err == nil {
-		var n int
-		if err = w.SetWriteDeadline(time.Now().Add(writeTimeout)); err == nil {
-			n, err = w.Conn.Write(p[:min(len(p), writeBytes)])
-		}
-		written, p = written+n, p[n:]
-	}
-	return written, err
-}
-
-// write writes a response. A caller that does not receive it in time counts as
-// disconnected.
-func (c *conn) write(r *filter.Request, out *filter.Outcome, closeConn bool) {
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	resp.Header.SetNoDefaultContentType(true)
-	resp.Header.DisableNormalizing()
-	c.server.Codec.Encode(resp, r, out)
-	resp.SkipBody = r != nil && r.Method == fasthttp.MethodHead
-	if closeConn {
-		resp.SetConnectionClose()
-	}
-	err := resp.Write(c.w)
-	if err == nil {
-		err = c.w.Flush()
-	}
-	if err == nil {
-		return
-	}
-	if out.Response != nil && out.Response.Rest != nil {
-		c.abort(r, out.Response.Rest.Err())
-		return
-	}
-	c.cancel()
-	c.interruptRead()
-}
-
-// abort closes the connection after a part of a response, so that the caller does not
-// take it for complete. cause is nil if the caller is the reason.
-func (c *conn) abort(r *filter.Request, cause error) {
-	c.cancel()
-	_ = c.netConn.Close()
-	if cause != nil {
-		c.server.brokenOff.Add(1)
-		c.server.Log.Info("The response of a backend server broke off after its first part was forwarded. The connection to the caller was closed.",
-			zap.String("id", r.ID), zap.Error(cause))
-	}
-}
--- a/internal/feedhost/listeners.go
+++ b/internal/feedhost/listeners.go
@@ -15,17 +15,10 @@
 	"github.com/anvilfront/anvilfront/internal/listen"
 	"github.com/anvilfront/anvilfront/internal/operator"
 	"github.com/anvilfront/anvilfront/internal/peer"
-	"github.com/anvilfront/anvilfront/internal/settings"
 )
 
 const (
-	// requestBodyShare is the share of the host's memory that the bodies of all requests
-	// may take up, and defaultRequestBodyBytes the same for a host without a memory limit.
-	requestBodyShare        = 0.35
-	defaultRequestBodyBytes = 32 << 20
-	// maxCallerConnections bounds the connections of callers. The smallest hosts
-	// have 4,100 file descriptors, and connections to backend servers take most of
-	// the rest.
+	// maxCallerConnections bounds the connections of callers on hosts of any size.
 	maxCallerConnections = 2500
 	// Limits of the readiness endpoint. A check is a request of a few hundred bytes without
 	// a body, about once a second.
@@ -43,9 +36,13 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	limits := h.callerLimits()
 	h.callers = callers.New(callers.Config{
 		Listener: callerListener, Codec: h.adapter.Codec, Chain: h.chain(), Store: h.store, Clock: h.clock, Counters: h.counters,
-		Log: h.log.Named("callers"), MaxConnections: maxCallerConnections, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: requestBodyBytes(s), Observe: h.observe,
+		Log: h.log.Named("callers"), Observe: h.observe,
+		Connections: admission.NewConnections(limits.Connections, s.ClientShare, h.clientPace()),
+		Requests:    admission.NewShare(limits.RequestBytes, s.ClientShare), PipelineBytes: limits.PipelineBytes,
+		MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: limits.BodyBytes,
 	})
 	if err := h.assembleReadiness(); err != nil {
 		return err
@@ -57,6 +54,8 @@
 	h.listeners.operator = h.bounded(operatorListener, "operator", s.OperatorConnections)
 	h.publishGauges()
 	h.counters.Set("callers.body_bytes", expvar.Func(func() any { return h.callers.BodyBytes() }))
+	h.counters.Set("callers.request_bytes", expvar.Func(func() any { return h.callers.Requests.Used() }))
+	h.counters.Set("callers.connections", expvar.Func(func() any { return int64(h.callers.Connections.Open()) }))
 	h.counters.Set("callers.active", expvar.Func(func() any { return h.callers.InFlight() }))
 	h.counters.Set("backend.connections", expvar.Func(func() any { return h.transport.Stats() }))
 	h.operator = operator.New(operator.Config{
@@ -97,11 +96,13 @@
 	return admission.Pace{BytesPerSecond: h.settings.MinClientRate, After: time.Duration(h.settings.SlowClientAfter)}
 }
 
-func requestBodyBytes(s *settings.Settings) int64 {
-	if s.MemoryMegabytes == 0 {
-		return defaultRequestBodyBytes
-	}
-	return int64(requestBodyShare * float64(s.MemoryMegabytes<<20))
+// callerLimits returns the limits of the listener for callers.
+func (h *Host) callerLimits() admission.Limits {
+	s := h.settings
+	return admission.Plan(s.MemoryMegabytes<<20, descriptorLimit(), min(maxCallerConnections, s.MaxConnections), admission.Shares{
+		BodyMemory: s.BodyMemoryShare, RequestMemory: s.RequestMemoryShare,
+		ConnectionMemory: s.ConnectionMemoryShare, Descriptors: s.DescriptorShare,
+	})
 }
 
 // peerLimits returns the limits of the listener for messages between hosts.
--- a/internal/listen/bounded.go
+++ b/internal/listen/bounded.go
@@ -85,8 +85,9 @@
 func (c *boundedConn) Write(p []byte) (int, error) {
 	c.reading = false
 	c.admitted.Running()
-	c.admitted.Writing(c.listener.Clock.Now())
+	c.admitted.Writing(len(p), c.listener.Clock.Now())
 	n, err := c.Conn.Write(p)
+	c.admitted.Written()
 	c.admitted.Ended(c.listener.Clock.Now())
 	return n, err
 }
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -49,6 +49,8 @@
 	ReasonRequestTimeout
 	ReasonUnauthorized
 	ReasonQuota
+	ReasonMemory
+	ReasonClientLimit
 	NumReasons // number of reasons; not a reason
 )
 
@@ -102,6 +104,8 @@
 	ReasonRequestTimeout:   {"request_timeout", 408, "the caller took too long to send the request"},
 	ReasonUnauthorized:     {"unauthorized", 401, "the request has no key of a client account"},
 	ReasonQuota:            {"quota", 429, "the client account has used up its quota"},
+	ReasonMemory:           {"memory", 503, "requests take up the memory that the entry host has for them"},
+	ReasonClientLimit:      {"client_limit", 429, "the requests of the client address take up as much memory as one may"},
 }
 
 // String returns the name used in headers, counters and logs.
