Bound messages between hosts of an entry host

Cause: the listener for other hosts took messages of 4 MB on 512 connections, each held until it had arrived.

--- a/internal/feedhost/feedhost.go
+++ b/internal/feedhost/feedhost.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	h.peerClient, h.peerServer = peer.NewClient(nil), peer.NewServerWithConfig(peerListener, h.peerLimits())
+	h.peerClient, h.peerServer = peer.NewClient(nil), h.newPeerServer(peerListener)
 	peerAddress, err := netip.ParseAddrPort(s.Peer)
 	if err != nil {
 		return errors.Wrap(err, "parse the address for peers")
--- a/internal/feedhost/listeners.go
+++ b/internal/feedhost/listeners.go
@@ -22,10 +22,15 @@
 	maxCallerConnections = 2500
 	// Limits of the readiness endpoint. A check is a request of a few hundred bytes without
 	// a body, about once a second.
-	readyBodyBytes    = 1 << 10
-	readyHeadBytes    = 4 << 10
-	readyIOTimeout    = 3 * time.Second
-	readyIdleTimeout  = 30 * time.Second
+	readyBodyBytes   = 1 << 10
+	readyHeadBytes   = 4 << 10
+	readyIOTimeout   = 3 * time.Second
+	readyIdleTimeout = 30 * time.Second
+	// Limits of the listener for messages between hosts. Such a host receives requests for
+	// the feed, which hold one key of the store; the memory of a message is taken when its
+	// length has arrived.
+	peerMessageBytes  = 64 << 10
+	peerCalls         = 8   // in flight on one connection; a host sends one at a time
 	peerDescriptors   = 0.2 // share of the file descriptors for connections from other hosts
 	serverConcurrency = 2   // workers per connection: one that was closed for another may still end
 )
@@ -105,13 +110,15 @@
 	})
 }
 
-// peerLimits returns the limits of the listener for messages between hosts.
-func (h *Host) peerLimits() peer.ServerConfig {
-	limits := peer.ServerConfig{MaxConnections: h.settings.PeerConnections}
+// newPeerServer returns the server for messages between hosts.
+func (h *Host) newPeerServer(l net.Listener) *peer.Server {
+	connections := h.settings.PeerConnections
 	if n := descriptorLimit(); n > 0 {
-		limits.MaxConnections = max(1, min(limits.MaxConnections, int(peerDescriptors*float64(n))))
+		connections = max(1, min(connections, int(peerDescriptors*float64(n))))
 	}
-	return limits
+	return peer.NewServerWithConfig(h.bounded(l, "peer", connections), peer.ServerConfig{
+		MaxConnections: serverConcurrency * connections, MaxMessageBytes: peerMessageBytes, MaxCallsPerConnection: peerCalls,
+	})
 }
 
 // descriptorLimit returns how many files this process may have open, or 0 if the system does
