--- a/internal/controller/quotas/messages.go
+++ b/internal/controller/quotas/messages.go
@@ -24,6 +24,9 @@
 			RetryMillis: uint32(ceilMillis(g.RetryAfter)), Excess: small(int(min(g.Excess, 600) * 100)),
 		}}
 	}
+	if h := m.Handover; h != nil {
+		b.QuotaHandovers = []wire.QuotaHandover{{ID: h.ID, Account: uint64(h.Account), Tokens: uint32(h.Tokens)}}
+	}
 	c.cfg.Mesh.SendTo(to, b)
 }
 
@@ -35,6 +38,7 @@
 func (c *Controller) AddToHeartbeat(now clock.Time, b *wire.Heartbeat) {
 	if len(*c.accounts.Load()) > 0 {
 		b.UptimeMillis = uint32(min(now.Sub(c.started), maxUptime)/time.Millisecond) + 1
+		b.FleetSize = small(int(c.fleetSize.Load()))
 	}
 }
 
@@ -43,12 +47,12 @@
 
 // Received implements mesh.HeartbeatHandler.
 func (c *Controller) Received(now clock.Time, b *wire.Heartbeat) {
-	if up := time.Duration(b.UptimeMillis) * time.Millisecond; up > now.Sub(c.started)+informedMargin {
-		c.inform()
-	}
 	if len(*c.accounts.Load()) == 0 || b.Relayed {
 		return
 	}
+	if up := time.Duration(b.UptimeMillis) * time.Millisecond; up > now.Sub(c.started)+informedMargin {
+		c.hearSize(int64(b.FleetSize))
+	}
 	for i := range b.QuotaAsks {
 		a, from := b.QuotaAsks[i], b.From.Address
 		c.enqueue(func(now clock.Time) {
@@ -67,13 +71,25 @@
 			})
 		})
 	}
+	for i := range b.QuotaHandovers {
+		c.handedOver(b.QuotaHandovers[i])
+	}
+}
+
+// handedOver takes over the tokens of a former owner.
+func (c *Controller) handedOver(h wire.QuotaHandover) {
+	c.enqueue(func(now clock.Time) {
+		c.node.ReceiveHandover(now, quota.Handover{ID: h.ID, Account: quota.Key(h.Account), Tokens: int(min(h.Tokens, math.MaxInt32))})
+	})
 }
 
-// inform tells the node once that an older process has answered.
-func (c *Controller) inform() {
-	if c.heardOlder.CompareAndSwap(false, true) {
-		if !c.enqueue(func(clock.Time) { c.node.Informed() }) {
-			c.heardOlder.Store(false)
+// hearSize keeps the largest size of the fleet that older processes reported since the
+// last update.
+func (c *Controller) hearSize(size int64) {
+	for {
+		old := c.olderSize.Load()
+		if size <= old || c.olderSize.CompareAndSwap(old, size) {
+			return
 		}
 	}
 }
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -49,6 +49,7 @@
 	ReasonRequestTimeout
 	ReasonUnauthorized
 	ReasonQuota
+	ReasonOtherAccounts
 	ReasonMemory
 	ReasonClientLimit
 	NumReasons // number of reasons; not a reason
@@ -104,6 +105,7 @@
 	ReasonRequestTimeout:   {"request_timeout", 408, "the caller took too long to send the request"},
 	ReasonUnauthorized:     {"unauthorized", 401, "the request has no key of a client account"},
 	ReasonQuota:            {"quota", 429, "the client account has used up its quota"},
+	ReasonOtherAccounts:    {"other_accounts", 503, "the service is short of room and other client accounts go first"},
 	ReasonMemory:           {"memory", 503, "requests take up the memory that the entry host has for them"},
 	ReasonClientLimit:      {"client_limit", 429, "the requests of the client address take up as much memory as one may"},
 }
