Keep a place for readiness checks beside a crowd

Change: an unused or idle connection is kept for 100 ms at the readiness endpoint and 50 ms elsewhere. A new connection waits for a place, in the order of arrival, instead of being refused. One client address has at most three quarters of the connections of the readiness endpoint and of those for operators and peers, and its connections displace each other first. The readiness endpoint takes 64 connections and heads of 2 KiB.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -12,7 +12,7 @@
 	"github.com/anvilfront/anvilfront/internal/clock"
 )
 
-var testPace = Pace{BytesPerSecond: 32 << 10, After: 500 * time.Millisecond}
+var testPace = Pace{BytesPerSecond: 32 << 10, After: 500 * time.Millisecond, Grace: 10}
 
 func address(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
 
@@ -111,7 +111,7 @@
 	}
 	for _, kept := range []Activity{
 		{Running: true}, {Running: true, Idle: ago(time.Minute)}, {Running: true, Reading: ago(time.Minute)},
-		{Reading: ago(100 * time.Millisecond)}, {Writing: ago(100 * time.Millisecond)},
+		{Idle: now}, {Idle: now - 9, Served: true}, {Reading: ago(100 * time.Millisecond)}, {Writing: ago(100 * time.Millisecond)},
 	} {
 		is.Equal(evictionOf(kept, now, testPace).reason, NotEvicted)
 	}
@@ -230,6 +230,8 @@
 		_, _, verdict := s.Admit(address(1), clock.Time(n+1), func() { closed = append(closed, n) })
 		is.Equal(verdict, Admitted)
 	}
+	_, _, verdict := s.Admit(address(2), 10, func() {})
+	is.Equal(verdict, NoRoom) // all have just been opened
 	c, reason, verdict := s.Admit(address(2), 100, func() {})
 	is.Equal(verdict, Admitted)
 	is.Equal(reason, Unused)
--- a/internal/admission/eviction.go
+++ b/internal/admission/eviction.go
@@ -12,6 +12,9 @@
 	// After is how long a client may lag behind the rate before its connection counts as
 	// slow and may be closed for others.
 	After time.Duration
+	// Grace is how long a connection that is unused or idle is kept at least, so that a
+	// client that sends its request at once is not displaced before the request is read.
+	Grace time.Duration
 }
 
 // allowed returns the time that the least rate allows for so many bytes.
@@ -74,7 +77,7 @@
 		return eviction{}
 	case slow(a.Reading):
 		return eviction{SlowRequest, a.Reading}
-	case a.Reading != 0, a.Idle == 0:
+	case a.Reading != 0, a.Idle == 0, now.Sub(a.Idle) < p.Grace:
 		return eviction{}
 	case a.Served:
 		return eviction{IdleLongest, a.Idle}
--- a/internal/callers/admit.go
+++ b/internal/callers/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -42,20 +43,34 @@
 	return l
 }
 
+// admitWait is how long a new connection waits once for one that may be closed, when all are
+// in use. It is at least the time for which an unused connection is kept.
+const admitWait = 50 * time.Millisecond
+
 // admitConnection decides on a new connection and reports whether it is served.
 func (s *Server) admitConnection(c *conn) bool {
-	now := s.Clock.Now()
-	admitted, closed, v := s.Connections.Admit(c.address, now, c.evict)
-	s.countClosed(closed, now)
+	v := s.tryAdmit(c)
+	if v != admission.Admitted {
+		timer := time.NewTimer(admitWait)
+		<-timer.C
+		v = s.tryAdmit(c)
+	}
 	switch v {
 	case admission.NoRoom:
-		s.limitLog.connectionNoRoom.Add(now)
+		s.limitLog.connectionNoRoom.Add(s.Clock.Now())
 	case admission.ClientLimit:
-		s.limitLog.connectionOfClient.Add(now)
+		s.limitLog.connectionOfClient.Add(s.Clock.Now())
 	case admission.Admitted:
 	}
+	return v == admission.Admitted
+}
+
+func (s *Server) tryAdmit(c *conn) admission.Verdict {
+	now := s.Clock.Now()
+	admitted, closed, v := s.Connections.Admit(c.address, now, c.evict)
+	s.countClosed(closed, now)
 	c.admitted = admitted
-	return admitted != nil
+	return v
 }
 
 func (s *Server) countClosed(reason admission.EvictionReason, now clock.Time) {
--- a/internal/feedhost/listeners.go
+++ b/internal/feedhost/listeners.go
@@ -23,9 +23,17 @@
 	// Limits of the readiness endpoint. A check is a request of a few hundred bytes without
 	// a body, about once a second.
 	readyBodyBytes   = 1 << 10
-	readyHeadBytes   = 4 << 10
+	readyHeadBytes   = 2 << 10
 	readyIOTimeout   = 3 * time.Second
 	readyIdleTimeout = 30 * time.Second
+	// readySlowAfter bounds how long a connection that sends nothing, or not the rest of its
+	// request, keeps its place while others wait: a check arrives in one packet.
+	readySlowAfter = 100 * time.Millisecond
+	// clientGrace is the least time for which an unused or idle connection is kept.
+	clientGrace = 50 * time.Millisecond
+	// otherClientShare is the part of the connections of a listener other than that for
+	// callers that one client address may have, so that a crowd does not displace the rest.
+	otherClientShare = 0.75
 	// Limits of the listener for messages between hosts. Such a host receives requests for
 	// the feed, which hold one key of the store; the memory of a message is taken when its
 	// length has arrived.
@@ -56,7 +64,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	h.listeners.operator = h.bounded(operatorListener, "operator", s.OperatorConnections)
+	h.listeners.operator = h.bounded(operatorListener, "operator", s.OperatorConnections, h.clientPace())
 	h.publishGauges()
 	h.counters.Set("callers.body_bytes", expvar.Func(func() any { return h.callers.BodyBytes() }))
 	h.counters.Set("callers.request_bytes", expvar.Func(func() any { return h.callers.Requests.Used() }))
@@ -76,7 +84,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
-	h.listeners.ready = h.bounded(l, "ready", h.settings.ReadyConnections)
+	h.listeners.ready = h.bounded(l, "ready", h.settings.ReadyConnections, admission.Pace{
+		BytesPerSecond: h.settings.MinClientRate, After: readySlowAfter, Grace: readySlowAfter,
+	})
 	h.ready = &fasthttp.Server{
 		Handler: h.adapter.Ready(h.Ready), NoDefaultServerHeader: true, Concurrency: serverConcurrency * h.settings.ReadyConnections,
 		MaxRequestBodySize: readyBodyBytes, ReadBufferSize: readyHeadBytes,
@@ -86,19 +96,18 @@
 	return nil
 }
 
-// bounded returns a listener with at most limit connections. One address may have them all:
-// a connection that does not progress is closed for a new one.
-func (h *Host) bounded(l net.Listener, name string, limit int) net.Listener {
+// bounded returns a listener with at most limit connections.
+func (h *Host) bounded(l net.Listener, name string, limit int, pace admission.Pace) net.Listener {
 	log := h.log.Named(name)
 	return listen.Bounded(l, listen.Bounds{
-		Connections: admission.NewConnections(limit, 1, h.clientPace()), Clock: h.clock,
+		Connections: admission.NewConnections(limit, otherClientShare, pace), Clock: h.clock,
 		Refused: h.counters.Limit(name+".connections_refused", "Connections are closed unread, since all allowed ones are in use.", log),
 		Closed:  h.counters.Limit(name+".connections_closed", "Connections that do not progress are closed for new ones.", log),
 	})
 }
 
 func (h *Host) clientPace() admission.Pace {
-	return admission.Pace{BytesPerSecond: h.settings.MinClientRate, After: time.Duration(h.settings.SlowClientAfter)}
+	return admission.Pace{BytesPerSecond: h.settings.MinClientRate, After: time.Duration(h.settings.SlowClientAfter), Grace: clientGrace}
 }
 
 // callerLimits returns the limits of the listener for callers.
@@ -116,7 +125,7 @@
 	if n := descriptorLimit(); n > 0 {
 		connections = max(1, min(connections, int(peerDescriptors*float64(n))))
 	}
-	return peer.NewServerWithConfig(h.bounded(l, "peer", connections), peer.ServerConfig{
+	return peer.NewServerWithConfig(h.bounded(l, "peer", connections, h.clientPace()), peer.ServerConfig{
 		MaxConnections: serverConcurrency * connections, MaxMessageBytes: peerMessageBytes, MaxCallsPerConnection: peerCalls,
 	})
 }
--- a/internal/listen/bounded.go
+++ b/internal/listen/bounded.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/anvilfront/anvilfront/internal/admission"
 	"github.com/anvilfront/anvilfront/internal/clock"
@@ -18,13 +19,24 @@
 	Closed      *metrics.Limit // connections that were closed for new ones
 }
 
+const (
+	// admitWait is how long a new connection waits before others are looked at again, and
+	// admitTries how often, before it is refused. Those that arrive meanwhile wait in the
+	// listener's queue, so that a crowd that reconnects does not pass the others.
+	admitWait  = 100 * time.Millisecond
+	admitTries = 10
+)
+
 // Bounded returns a listener whose connections keep to the bounds: when they are reached, a
 // connection that does not progress is closed in favour of a new one.
-func Bounded(l net.Listener, b Bounds) net.Listener { return &boundedListener{l, b} }
+func Bounded(l net.Listener, b Bounds) net.Listener {
+	return &boundedListener{Listener: l, Bounds: b, ended: make(chan struct{}, 1)}
+}
 
 type boundedListener struct {
 	net.Listener
 	Bounds
+	ended chan struct{} // receives after the end of a connection
 }
 
 // Accept implements net.Listener.
@@ -34,18 +46,34 @@
 		if err != nil {
 			return nil, err
 		}
+		if admitted := l.admit(conn); admitted != nil {
+			return &boundedConn{Conn: conn, listener: l, admitted: admitted}, nil
+		}
+		l.Refused.Add(l.Clock.Now())
+		_ = conn.Close()
+	}
+}
+
+// admit waits until there is room for a connection. The result is nil if there is none.
+func (l *boundedListener) admit(conn net.Conn) *admission.Connection {
+	timer := time.NewTimer(admitWait)
+	defer timer.Stop()
+	for range admitTries {
 		now := l.Clock.Now()
 		admitted, closed, _ := l.Connections.Admit(RemoteAddress(conn), now, func() { _ = conn.Close() })
 		if closed != admission.NotEvicted {
 			l.Closed.Add(now)
 		}
-		if admitted == nil {
-			l.Refused.Add(now)
-			_ = conn.Close()
-			continue
+		if admitted != nil {
+			return admitted
+		}
+		select {
+		case <-l.ended:
+		case <-timer.C:
+			timer.Reset(admitWait)
 		}
-		return &boundedConn{Conn: conn, listener: l, admitted: admitted}, nil
 	}
+	return nil
 }
 
 // RemoteAddress returns the IP address of the client of a connection.
@@ -94,6 +122,12 @@
 
 // Close implements net.Conn.
 func (c *boundedConn) Close() error {
-	c.closing.Do(func() { c.listener.Connections.Done(c.admitted) })
+	c.closing.Do(func() {
+		c.listener.Connections.Done(c.admitted)
+		select {
+		case c.listener.ended <- struct{}{}:
+		default: // Accept has not seen the last one yet
+		}
+	})
 	return c.Conn.Close()
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,7 +32,7 @@
 	MemoryMegabytes int64   `toml:"memory_megabytes"` // memory of the host; 0: no memory limit is set
 
 	// Limits on what clients may use of a host configured by a feed.
-	ReadyConnections      int               `toml:"ready_connections"`       // open connections of the readiness endpoint; default 32
+	ReadyConnections      int               `toml:"ready_connections"`       // open connections of the readiness endpoint; default 64
 	OperatorConnections   int               `toml:"operator_connections"`    // open connections of operators; default 64
 	PeerConnections       int               `toml:"peer_connections"`        // open connections from other entry hosts; default 192, at most a fifth of the file descriptors
 	BodyMemoryShare       float64           `toml:"body_memory_share"`       // of memory_megabytes, for bodies of requests; default 0.3
@@ -103,7 +103,7 @@
 	return &Settings{
 		LogLevel: "info", MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, MaxConnections: 4096,
 		RetryRatio: 0.2, IdleTimeout: seconds(60), ReadTimeout: seconds(10), Notice: seconds(3), StopBound: seconds(30),
-		ReadyConnections: 32, OperatorConnections: 64, PeerConnections: 192,
+		ReadyConnections: 64, OperatorConnections: 64, PeerConnections: 192,
 		BodyMemoryShare: 0.3, RequestMemoryShare: 0.12, ConnectionMemoryShare: 0.1, DescriptorShare: 0.45, ClientShare: 0.8,
 		MinClientRate: 32 << 10, SlowClientAfter: seconds(1),
 	}
