--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,9 +33,9 @@
 
 	// Limits on what clients may use of a host configured by a feed.
 	ReadyConnections      int               `toml:"ready_connections"`       // open connections of the readiness endpoint; default 64
-	OperatorConnections   int               `toml:"operator_connections"`    // open connections of operators; default 64
-	PeerConnections       int               `toml:"peer_connections"`        // open connections from other entry hosts; default 192, at most a fifth of the file descriptors
-	BodyMemoryShare       float64           `toml:"body_memory_share"`       // of memory_megabytes, for bodies of requests; default 0.3
+	OperatorConnections   int               `toml:"operator_connections"`    // open connections of operators; default 32
+	PeerConnections       int               `toml:"peer_connections"`        // open connections from other entry hosts; default 128, at most a fifth of the file descriptors
+	BodyMemoryShare       float64           `toml:"body_memory_share"`       // of memory_megabytes, for bodies of requests; default 0.25
 	RequestMemoryShare    float64           `toml:"request_memory_share"`    // of memory_megabytes, for heads of requests and waiting responses; default 0.12
 	ConnectionMemoryShare float64           `toml:"connection_memory_share"` // of memory_megabytes, for connections of callers; default 0.1
 	DescriptorShare       float64           `toml:"descriptor_share"`        // of the file descriptors, for connections of callers; default 0.45
@@ -103,8 +103,8 @@
 	return &Settings{
 		LogLevel: "info", MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, MaxConnections: 4096,
 		RetryRatio: 0.2, IdleTimeout: seconds(60), ReadTimeout: seconds(10), Notice: seconds(3), StopBound: seconds(30),
-		ReadyConnections: 64, OperatorConnections: 64, PeerConnections: 192,
-		BodyMemoryShare: 0.3, RequestMemoryShare: 0.12, ConnectionMemoryShare: 0.1, DescriptorShare: 0.45, ClientShare: 0.8,
+		ReadyConnections: 64, OperatorConnections: 32, PeerConnections: 128,
+		BodyMemoryShare: 0.25, RequestMemoryShare: 0.12, ConnectionMemoryShare: 0.1, DescriptorShare: 0.45, ClientShare: 0.8,
 		MinClientRate: 32 << 10, SlowClientAfter: seconds(1),
 	}
 }
