--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -50,6 +50,8 @@
 	ReasonUnauthorized
 	ReasonQuota
 	ReasonOtherAccounts
+	ReasonMemory
+	ReasonClientLimit
 	NumReasons // number of reasons; not a reason
 )
 
@@ -104,6 +106,8 @@
 	ReasonUnauthorized:     {"unauthorized", 401, "the request has no key of a client account"},
 	ReasonQuota:            {"quota", 429, "the client account has used up its quota"},
 	ReasonOtherAccounts:    {"other_accounts", 503, "the service is short of room and other client accounts go first"},
+	ReasonMemory:           {"memory", 503, "requests take up the memory that the entry host has for them"},
+	ReasonClientLimit:      {"client_limit", 429, "the requests of the client address take up as much memory as one may"},
 }
 
 // String returns the name used in headers, counters and logs.
