State the length of responses of the fake platform

Cause: the client of the configuration service takes no response without a length any more. The recorder that stands in for a connection states none, so that no host of fleettest got a manifest.

Change: the length is set.

--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -94,7 +94,9 @@
 	if w.Code == http.StatusBadGateway {
 		return nil, errors.New("connection refused")
 	}
-	return w.Result(), nil
+	resp := w.Result()
+	resp.ContentLength = int64(w.Body.Len()) // as a server over HTTP states it
+	return resp, nil
 }
 
 // ServeHTTP implements http.Handler.
