Place one request in ten without regard to connections

Cause: a host with few requests kept to the servers to which it had idle connections, and did not use one that joined or came back.

Change: a tenth of the requests is placed as if no server needed a connection.

--- a/internal/filters/placement.go
+++ b/internal/filters/placement.go
@@ -50,6 +50,10 @@
 // rate limit.
 type LimitedSender interface{ MaySendToLimited(s *state.Server) bool }
 
+// newConnectionShare is the share of the requests that are placed without regard to open
+// connections. Without it a host with few requests would never use a server that joins.
+const newConnectionShare = 0.1
+
 // IdleConnections tells to which backend servers this host keeps idle connections.
 type IdleConnections interface{ HasIdle(address string) bool }
 
@@ -180,7 +184,7 @@
 		Work:         work,
 		Objective:    objectiveLeft,
 		PenaltyScale: scale, TotalObjective: objective, TimeLeft: timeLeft, Urgency: standing.Urgency, MostOccupied: standing.MostOccupied,
-		SpareCapacityOnly: x.IsHedge,
+		SpareCapacityOnly: x.IsHedge, PreferConnected: p.Idle != nil && p.random().Float64() >= newConnectionShare,
 	}
 }
 
@@ -242,7 +246,7 @@
 			continue
 		}
 		c := placement.Candidate{Estimate: e, Local: s.Local, RejectsExcess: s.ReportsRunningOnly, Queried: contains(q.updated, s.Name)}
-		c.NeedsConnection = p.Idle != nil && !p.Idle.HasIdle(s.Address)
+		c.NeedsConnection = requirements.PreferConnected && !p.Idle.HasIdle(s.Address)
 		if !s.Local {
 			c.ExtraRoundTrip = remoteExtraRoundTrip
 		}
--- a/internal/filters/placement_test.go
+++ b/internal/filters/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -331,3 +332,31 @@
 	now.Advance(100 * time.Millisecond)
 	is.Equal(placeRequest(p, now.Now(), &filter.Exchange{}).Verdict, verdict.Ran)
 }
+
+// connectedTo keeps an idle connection to one address.
+type connectedTo string
+
+func (c connectedTo) HasIdle(address string) bool { return address == string(c) }
+
+// TestJoiningServerIsUsed guards against a host that keeps to the server to which it has a
+// connection, although others are as good, and never uses one that joins; and against one
+// that does not prefer its connection.
+func TestJoiningServerIsUsed(t *testing.T) {
+	is := is.New(t)
+	now := &clock.Manual{}
+	now.Set(clock.Time(time.Second))
+	p, all := newTestPlacement(now, 2, 0, false)
+	all[0].Address, all[1].Address = "a", "b"
+	p.Idle = connectedTo("a")
+	p.Rand = rand.New(rand.NewPCG(1, 1))
+	chosen := map[string]int{}
+	for range 200 {
+		x := &filter.Exchange{}
+		placeRequest(p, now.Now(), x)
+		chosen[x.Grant.Server.Name]++
+		p.Release(x.Grant, filter.Report{Verdict: verdict.Ran})
+	}
+	t.Logf("requests: %v", chosen)
+	is.True(chosen["b1"] > 0)
+	is.True(chosen["b0"] > 150)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -65,6 +65,8 @@
 	TimeLeft          time.Duration // time left until the deadline
 	SpareCapacityOnly bool          // use only a server with capacity, and only if in time: the request already runs elsewhere
 	Urgency           float64       // 0 to 1; the share of the objective that waiting and work may use up
+	// PreferConnected is set if servers with an idle connection are preferred.
+	PreferConnected bool
 	// Typical is the mean completion time of the servers by their newest readings, or 0 if
 	// it is not known. The older a reading, the more it counts in its place.
 	Typical      time.Duration
