Serve accounts sooner after the start of a whole fleet

Change: a new process learns for 0.6 s; after that the owner of an account in a fleet without older processes holds two tokens and a quarter of the burst once, and a new owner hands out three quarters of the rate in its first second.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -29,6 +29,7 @@
 	since clock.Time // start of the ownership
 	// carefulUntil is the time until which another host may own the account as well.
 	carefulUntil clock.Time
+	started      bool       // see Node.addStartTokens
 	askers       [2]uint64  // bitmaps of hosts that asked in this and the last askerPeriod
 	period       clock.Time // start of this askerPeriod
 	// granted counts the tokens of this and the last TokenLife.
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -270,7 +270,9 @@
 
 // grant takes tokens out of the bucket of an account that this host owns.
 func (n *Node) grant(now clock.Time, s *accountState, a *Ask, from string) Grant {
-	g := n.bucket(s).grant(now, s.limit, n.Share(now), a, from)
+	b := n.bucket(s)
+	n.addStartTokens(now, s)
+	g := b.grant(now, s.limit, n.Share(now), a, from)
 	n.counts[Grants]++
 	n.counts[Granted] += int64(g.Granted)
 	if g.Granted < a.Waiting {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -50,13 +50,17 @@
 	// takeoverShare of the rate until then, since the former one may still own the account
 	// as well.
 	takeoverTime  = time.Second
-	takeoverShare = 0.5
+	takeoverShare = 0.75
+	// startTokens and startBurst, a part of the burst, are what the owner of an account holds
+	// once it knows the other hosts of a fleet that has just started.
+	startTokens = 2
+	startBurst  = 0.25
 	// fallbackShare is the part of the rate that all hosts together spend while none gets
 	// a grant.
 	fallbackShare = 0.15
 	// learnTime is the age below which a process that no older one has answered does not
 	// know how large the fleet is. It then assumes assumedHosts, the largest fleet.
-	learnTime    = time.Second
+	learnTime    = 600 * time.Millisecond
 	assumedHosts = 320
 	// inheritTime is how long a process believes what an older one said of the size of the
 	// fleet. Processes say so several times a second.
