Refuse responses whose heads hold lines that are no header fields

What callers saw: a backend server in trouble sent a head in which the name of a field held a blank or a control byte, and the caller got it as an answer. The line was passed on ("X-Ex tra: v"), changed ("X-Extra : v" became "X-Extra: v", " X-Extra: v" became a part of the value before it), or the body was another one: a line "\nX-Extra: v" ended the head, and the caller got the rest of the head as the body.

Cause: the head parser of fasthttp is lenient. It keeps blanks in a name, trims those behind it, joins a line that begins with a blank to the one before it, and takes a bare LF for the end of a line or of the head. So "Content-Length : 1" gave the length, "X-Response-Signature : sig" was a signature, and "X-Not-Executed : 1" counted as "not run": an order that may have run got 503.

Change: package responsehead checks each line of a head, final or informational, and of a trailer, before fasthttp reads it: the status as before (moved from internal/backend), and for each further line a name of token characters, a colon, and CRLF at the end. Anything else ends the attempt as a response that broke off: "may have run", 502, and a repeat only where it is allowed. Continuation lines are refused as well: HTTP allows this, and one cannot be told from a name that begins with a blank. The check looks at the bytes and not at what the library made of them, so that it doesn't depend on which of them the library accepts.

--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -13,6 +13,7 @@
 
 	"github.com/anvilfront/anvilfront/internal/bodies"
 	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/responsehead"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
 
@@ -201,7 +202,7 @@
 // readFinalHead reads the head of the final response, and skips informational ones.
 func readFinalHead(resp *fasthttp.Response, r *bufio.Reader) error {
 	for range maxInformational + 1 {
-		if err := checkStatusLine(r); err != nil {
+		if err := responsehead.Check(r); err != nil {
 			return err
 		}
 		if err := resp.Header.Read(r); err != nil {
@@ -246,7 +247,7 @@
 	if !forward && length > limit {
 		return fasthttp.ErrBodyTooLarge
 	}
-	reader := bodies.NewReader(r, length, &resp.Header)
+	reader := bodies.NewReader(r, length, responsehead.Trailer{Header: &resp.Header})
 	held, complete, err := bodies.Hold(reader, length, limit, &body.memory)
 	body.held = held
 	switch {
@@ -258,7 +259,7 @@
 		return errResponsesTooLarge
 	}
 	if chunked, ok := reader.(*bodies.Chunked); ok {
-		chunked.Trailer = &fasthttp.ResponseHeader{} // resp is reused before the trailer arrives
+		chunked.Trailer = responsehead.Trailer{Header: &fasthttp.ResponseHeader{}} // resp is reused before the trailer arrives
 	}
 	body.rest, body.length = reader, max(length, -1)
 	return nil
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -53,6 +53,7 @@
 	ResetShare       float64 // runs, then resets the connection without a response
 	AbortShare       float64 // runs, then closes the connection in the middle of the response
 	ExcessBytesShare float64 // runs, then sends more bytes than Content-Length announces
+	RawResponse      string  // runs, then sends these bytes as its response and closes the connection; empty: none
 	LateShare        float64 // runs, then responds after LateDelay
 	LateDelay        time.Duration
 	SlowFactor       float64 // factor for service times; 0 means 1
--- a/internal/fake/backendcall.go
+++ b/internal/fake/backendcall.go
@@ -123,6 +123,9 @@
 	case chance(x.faults.ExcessBytesShare):
 		_, _ = fmt.Fprintf(x.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)-1, body)
 		return false
+	case x.faults.RawResponse != "":
+		_, _ = x.conn.Write([]byte(x.faults.RawResponse))
+		return false
 	case chance(x.faults.LateShare):
 		return x.wait(x.faults.LateDelay)
 	}
--- a/internal/proctest/faults_test.go
+++ b/internal/proctest/faults_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -42,12 +40,7 @@
 // TestFaults guards against violations of the invariants of the design page under each
 // of the injected faults.
 func TestFaults(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "anvilfront")
-	build := exec.Command("go", "build", "-o", binary, "./cmd/anvilfront")
-	build.Dir = filepath.Join("..", "..")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildProgram(t)
 	// Two fleets at a time keep the test short without overloading the machine.
 	sem := make(chan struct{}, 2)
 	for _, c := range faults {
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -77,6 +77,18 @@
 
 var fleetSeed = flag.Uint64("seed", 0, "seed of the fleet; 0: a random one")
 
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "anvilfront")
+	build := exec.Command("go", "build", "-o", binary, "./cmd/anvilfront")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 // startFleet starts a fleet and waits until it has converged.
 func startFleet(t *testing.T, binary string, configure func(*fake.Backend)) *fleet {
 	t.Helper()
