Check the heads of the store and the configuration service as strictly

What callers saw: nothing yet; found by looking for the cause of the incident wherever responses are read.

Cause: the clients of the store and of the configuration service use net/http, whose parser is as lenient as that of fasthttp. "Store-Era : 5" named no era, so that the content counted as that of the oldest one. After a bare LF the rest of a head counted as the body: "Content-Length: 12\r\n\n\r\n" gave a manifest without its last two bytes.

Change: responsehead.SetDialer makes a transport check each head on the bytes of the connection, informational ones included, before net/http reads it. Trailers are not checked: nothing of them is used.

--- a/internal/configservice/configservice.go
+++ b/internal/configservice/configservice.go
@@ -10,6 +10,7 @@
 	"expvar"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,6 +21,7 @@
 
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/metrics"
+	"github.com/anvilfront/anvilfront/internal/responsehead"
 )
 
 // MaxBytes is the maximum size of a response, which is the value size limit of
@@ -59,10 +61,12 @@
 // plain HTTP transport is used.
 func New(urls []string, transport http.RoundTripper, counters *metrics.Counters) *Client {
 	if transport == nil {
-		transport = &http.Transport{
+		strict := &http.Transport{
 			MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4, IdleConnTimeout: time.Minute,
 			ResponseHeaderTimeout: time.Minute, MaxResponseHeaderBytes: 16 << 10,
 		}
+		responsehead.SetDialer(strict, &net.Dialer{})
+		transport = strict
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
--- a/internal/configservice/response_test.go
+++ b/internal/configservice/response_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -81,3 +82,28 @@
 		})
 	}
 }
+
+// TestFieldNames guards against a response in whose head the name of a field holds a blank or
+// a control byte, and that counts as a manifest, or as one without news. net/http took a bare
+// LF for the end of the head, so that a manifest was cut and had bytes of the head before it.
+func TestFieldNames(t *testing.T) {
+	for line, ok := range map[string]bool{
+		"X-Extra: v": true, "X-Extra:": true,
+		"X-Extra : v": false, "X-Ex tra: v": false, "X-Extra\t: v": false, "X-Ex\x00tra: v": false, " X-Extra: v": false, "\tX-Extra: v": false,
+		"\nX-Extra: v": false, "\n": false, "\rX-Extra: v": false, ": v": false, "X-Extra": false, "Content-Length : 11": false,
+	} {
+		for place, response := range map[string]string{
+			"content":       "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nA: b\r\n%s\r\n\r\nrevision = 4",
+			"no news":       "HTTP/1.1 204 No Content\r\nA: b\r\n%s\r\n\r\n",
+			"informational": "HTTP/1.1 103 Early Hints\r\nA: b\r\n%s\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nrevision = 4",
+			"behind one":    "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\nA: b\r\n%s\r\n\r\nrevision = 4",
+		} {
+			t.Run(fmt.Sprintf("%q %s", line, place), func(t *testing.T) {
+				is := is.New(t)
+				raw, err := rawHTTP(t, fmt.Sprintf(response, line)).Manifest(context.Background(), 1, 0)
+				is.Equal(err == nil, ok)
+				is.Equal(raw != nil, ok && place != "no news")
+			})
+		}
+	}
+}
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"bytes"
-	"net/http"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -27,20 +26,34 @@
 //
 // A head that breaks off or does not fit into the buffer is left to its reader.
 func Check(r *bufio.Reader) error {
-	end := 0
+	_, err := check(r)
+	return err
+}
+
+// head is what check found.
+type head struct {
+	length        int  // bytes of its sound lines, and of a status line that is not sound
+	complete      bool // with the empty line at its end
+	informational bool // another head follows
+}
+
+func check(r *bufio.Reader) (h head, err error) {
 	for {
-		line, ok := peekLine(r, end)
+		line, ok := peekLine(r, h.length)
 		if !ok {
-			return nil
+			return h, nil
 		}
-		end += len(line)
+		h.length += len(line)
 		if len(bytes.Trim(line, "\r\n")) == 0 {
 			continue // empty lines ahead of the status line
 		}
-		if err := checkStatusLine(line); err != nil {
-			return err
+		status, err := parseStatusLine(line)
+		if err != nil {
+			return h, err
 		}
-		return checkFields(r, end)
+		h.informational = status[0] == '1'
+		h.length, h.complete, err = checkFields(r, h.length)
+		return h, err
 	}
 }
 
@@ -49,53 +62,44 @@
 
 // ReadTrailer reads a trailer whose lines are as strict as those of a head.
 func (t Trailer) ReadTrailer(r *bufio.Reader) error {
-	if err := checkFields(r, 0); err != nil {
+	if _, _, err := checkFields(r, 0); err != nil {
 		return err
 	}
 	return t.Header.ReadTrailer(r)
 }
 
-// CheckNames checks the names of fields that net/http has read. It accepts blanks in and
-// behind names, and ignores such a field even if it gives the length of the body.
-func CheckNames(h http.Header) error {
-	for name := range h {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return ErrField
-		}
-	}
-	return nil
-}
-
-func checkStatusLine(line []byte) error {
+// parseStatusLine returns the three digits of the status.
+func parseStatusLine(line []byte) ([]byte, error) {
 	line, ok := bytes.CutSuffix(line, crlf)
 	_, status, _ := bytes.Cut(line, []byte(" "))
 	status, _, _ = bytes.Cut(status, []byte(" "))
 	if !ok || len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
-		return ErrStatus
+		return nil, ErrStatus
 	}
-	return nil
+	return status, nil
 }
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
 var crlf = []byte("\r\n")
 
-// checkFields checks the lines from an offset in r to the empty line that ends them.
-func checkFields(r *bufio.Reader, from int) error {
-	for {
-		line, ok := peekLine(r, from)
+// checkFields checks the lines from an offset in r to the empty line that ends them, and
+// returns the offset behind the last sound one.
+func checkFields(r *bufio.Reader, from int) (end int, complete bool, err error) {
+	for end = from; ; {
+		line, ok := peekLine(r, end)
 		if !ok {
-			return nil
+			return end, false, nil
 		}
-		from += len(line)
 		field, ok := bytes.CutSuffix(line, crlf)
 		if ok && len(field) == 0 {
-			return nil
+			return end + len(line), true, nil
 		}
 		name, _, colon := bytes.Cut(field, []byte(":"))
 		if !ok || !colon || !httpguts.ValidHeaderFieldName(string(name)) {
-			return ErrField
+			return end, false, ErrField
 		}
+		end += len(line)
 	}
 }
 
