Check heads in the operator commands and in the local fleet's caller

Both read them with fasthttp, without the check that the transport to backend servers makes: "anvilfront alerts" printed "none" and ended with 0 for a response with status 000, or with "A b: c" in its head. The caller of the demo took such a response for a sound one.

Change: the operator commands read from a connection of responsehead, and report a broken head as an entry host that doesn't respond (exit code 5). The caller checks the head before it reads the response.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/url"
 	"runtime"
 	"runtime/debug"
@@ -13,6 +14,7 @@
 	"github.com/anvilfront/anvilfront/internal/manifest"
 	"github.com/anvilfront/anvilfront/internal/operator"
 	"github.com/anvilfront/anvilfront/internal/operator/status"
+	"github.com/anvilfront/anvilfront/internal/responsehead"
 )
 
 // responseTimeout bounds a request to an entry host.
@@ -29,7 +31,8 @@
 	if text := manifest.CheckAddress(o.Operator); text != "" {
 		return &exitError{ExitUsage, errors.Errorf("--operator %s", text), "use the operator address from the settings of the entry host, such as 127.0.0.1:9000"}
 	}
-	client := &fasthttp.HostClient{Addr: o.Operator, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 64 << 20}
+	dial := func(address string) (net.Conn, error) { return responsehead.NewConn(fasthttp.Dial(address)) }
+	client := &fasthttp.HostClient{Addr: o.Operator, Dial: dial, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 64 << 20}
 	defer client.CloseIdleConnections()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
--- a/internal/localfleet/client.go
+++ b/internal/localfleet/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/anvilfront/anvilfront/internal/fake"
 	"github.com/anvilfront/anvilfront/internal/filter"
+	"github.com/anvilfront/anvilfront/internal/responsehead"
 	"github.com/anvilfront/anvilfront/internal/verdict"
 )
 
@@ -114,6 +115,9 @@
 	if err := conn.w.Flush(); err != nil {
 		return err
 	}
+	if err := responsehead.Check(conn.r); err != nil {
+		return err
+	}
 	c.resp.Reset()
 	return c.resp.Read(conn.r)
 }
--- a/internal/responsehead/client.go
+++ b/internal/responsehead/client.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 )
 
-// maxHeadBytes bounds the head of a response to a client of net/http.
+// maxHeadBytes bounds the head of a response that is read from a connection of NewConn.
 const maxHeadBytes = 16 << 10
 
 // ErrTooLarge means that the head of a response does not fit into maxHeadBytes.
@@ -21,10 +21,10 @@
 // of responses. It speaks HTTP/1.1 only.
 func SetDialer(t *http.Transport, d *net.Dialer) {
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return newConn(d.DialContext(ctx, network, address))
+		return NewConn(d.DialContext(ctx, network, address))
 	}
 	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return newConn((&tls.Dialer{NetDialer: d, Config: t.TLSClientConfig}).DialContext(ctx, network, address))
+		return NewConn((&tls.Dialer{NetDialer: d, Config: t.TLSClientConfig}).DialContext(ctx, network, address))
 	}
 }
 
@@ -38,7 +38,9 @@
 	err     error       // of reads behind them
 }
 
-func newConn(raw net.Conn, err error) (net.Conn, error) {
+// NewConn returns a connection whose Read fails at a broken head. It returns the error of a
+// dial unchanged.
+func NewConn(raw net.Conn, err error) (net.Conn, error) {
 	if err != nil {
 		return nil, err
 	}
