--- a/internal/proctest/broken_heads_test.go
+++ b/internal/proctest/broken_heads_test.go
@@ -12,7 +12,8 @@
 	"github.com/anvilfront/anvilfront/internal/filter"
 )
 
-// brokenHeads are responses whose heads hold a line that is no header field.
+// brokenHeads are responses whose heads hold a line that is no header field, or a status that
+// is none of HTTP.
 var brokenHeads = map[string]string{
 	"blank in a name":     "HTTP/1.1 200 OK\r\nX-Ex tra: v\r\nContent-Length: 2\r\n\r\nok",
 	"blank behind a name": "HTTP/1.1 200 OK\r\nX-Extra : v\r\nContent-Length: 2\r\n\r\nok",
@@ -22,6 +23,8 @@
 	"length":              "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
 	"chunks":              "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	"informational":       "HTTP/1.1 103 Early Hints\r\nX-Ex tra: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"status":              "HTTP/1.1 000 Nothing\r\nContent-Length: 2\r\n\r\nok",
+	"bare status":         "HTTP/1.1 000\r\nContent-Length: 2\r\n\r\nok",
 	"refusal":             "HTTP/1.1 503 Service Unavailable\r\n" + filter.HeaderShed + " : not-run\r\nContent-Length: 0\r\n\r\n",
 }
 
