Refuse chunks in a version of HTTP that has none

A response of HTTP/1.0 with "Transfer-Encoding: chunked" reached the caller with the sizes of its chunks as a part of the body.

Cause: the head parser of fasthttp ignores the field in other versions than 1.1, so that the end of the connection, or Content-Length, ends the body.

Change: such a head is an error, as HTTP asks for.

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -52,7 +53,7 @@
 			return h, err
 		}
 		h.informational = status[0] == '1'
-		h.length, h.complete, err = checkFields(r, h.length)
+		h.length, h.complete, err = checkFields(r, h.length, bytes.HasPrefix(line, chunkedVersion))
 		return h, err
 	}
 }
@@ -62,7 +63,7 @@
 
 // ReadTrailer reads a trailer whose lines are as strict as those of a head.
 func (t Trailer) ReadTrailer(r *bufio.Reader) error {
-	if _, _, err := checkFields(r, 0); err != nil {
+	if _, _, err := checkFields(r, 0, true); err != nil {
 		return err
 	}
 	return t.Header.ReadTrailer(r)
@@ -81,11 +82,17 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-var crlf = []byte("\r\n")
+var (
+	crlf = []byte("\r\n")
+	// chunkedVersion begins the status line of a response that can have a Transfer-Encoding.
+	// With another version the libraries ignore the field, and chunk sizes become a part of
+	// the body.
+	chunkedVersion = []byte("HTTP/1.1 ")
+)
 
 // checkFields checks the lines from an offset in r to the empty line that ends them, and
 // returns the offset behind the last sound one.
-func checkFields(r *bufio.Reader, from int) (end int, complete bool, err error) {
+func checkFields(r *bufio.Reader, from int, canBeChunked bool) (end int, complete bool, err error) {
 	for end = from; ; {
 		line, ok := peekLine(r, end)
 		if !ok {
@@ -99,6 +106,9 @@
 		if !ok || !colon || !httpguts.ValidHeaderFieldName(string(name)) {
 			return end, false, ErrField
 		}
+		if !canBeChunked && strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
+			return end, false, ErrField
+		}
 		end += len(line)
 	}
 }
