--- a/internal/responsehead/client.go
+++ b/internal/responsehead/client.go
@@ -28,8 +28,6 @@
 	}
 }
 
-// conn is a connection of a client that sends a request only after the whole response to the
-// one before.
 type conn struct {
 	net.Conn
 	r       *bufio.Reader
@@ -38,8 +36,9 @@
 	err     error       // of reads behind them
 }
 
-// NewConn returns a connection whose Read fails at a broken head. It returns the error of a
-// dial unchanged.
+// NewConn takes the results of a dial and returns a connection whose Read fails at a broken
+// head, or the error of the dial. Its client must not pipeline: it sends a request only after
+// the whole response to the one before. Errors of Read: ErrStatus, ErrField, ErrTooLarge.
 func NewConn(raw net.Conn, err error) (net.Conn, error) {
 	if err != nil {
 		return nil, err
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -21,11 +21,12 @@
 
 // Check checks the head of the response that follows in r, without reading it: its status,
 // and that each further line is a header field. fasthttp gives 200 for a status of zero. It
-// accepts blanks in and behind the names of fields, joins a line that begins with a blank to
-// the one before it, and takes a bare LF for the end of a line or of the head, so that a
-// field, the length of the body included, can be another one than the server meant.
+// accepts whitespace in and behind the names of fields, joins a line that begins with
+// whitespace to the one before it, and takes a bare LF for the end of a line or of the head,
+// so that a field, the length of the body included, can be another one than the server meant.
 //
-// A head that breaks off or does not fit into the buffer is left to its reader.
+// Check waits until the head has arrived. A head that breaks off or does not fit into the
+// buffer is left to its reader. Errors: ErrStatus, ErrField.
 func Check(r *bufio.Reader) error {
 	_, err := check(r)
 	return err
