Start no delayed request of a fake caller that is closed

Cause: fake.Caller.Close waits for delayed requests while handlers of a server that has closed may still call through it, so that WaitGroup.Add runs beside Wait.

Change: a closed caller starts no delayed request; the call is unconfirmed, as with any other loss.

Result: TestCloseDuringCalls failed before with the same report (1 of 1 runs), and passes now (5 of 5).

--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -77,11 +77,16 @@
 	*peer.Client
 	network *Network
 	from    string
+	mu      sync.Mutex
+	closed  bool           // no more delayed requests are started; guarded by mu
 	delayed sync.WaitGroup // goroutines that send delayed requests
 }
 
 // Close closes the connections and waits for delayed requests.
 func (c *Caller) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	c.Client.Close()
 	c.delayed.Wait()
 }
@@ -106,16 +111,29 @@
 	return c.Client.Call(ctx, class, address, method, args, reply)
 }
 
+// start runs send on a goroutine of its own, unless the caller is closed.
+func (c *Caller) start(send func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.delayed.Go(send)
+	}
+	return !c.closed
+}
+
 // delay sends the request after the delay, even if the caller has timed out by then.
 func (c *Caller) delay(ctx context.Context, f Fault, class peer.Class, address, method string, args, reply any) error {
 	delayedReply := reflect.New(reflect.TypeOf(reply).Elem())
 	done := make(chan error, 1)
-	c.delayed.Go(func() {
+	started := c.start(func() {
 		time.Sleep(f.Delay)
 		callCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		done <- c.Client.Call(callCtx, class, address, method, args, delayedReply.Interface())
 	})
+	if !started {
+		return peer.ErrUnconfirmed
+	}
 	select {
 	case err := <-done:
 		reflect.ValueOf(reply).Elem().Set(delayedReply.Elem())
