--- a/review/standin3/endpoint.go
+++ b/review/standin3/endpoint.go
@@ -185,7 +185,6 @@
 func (e *endpoint) write(status int, body []byte, fields ...string) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
-	fmt.Fprintf(&b, "Date: %s\r\n", time.Now().UTC().Format(http.TimeFormat)) // RFC 9110 advises to send it first
 	for _, f := range fields {
 		b.WriteString(f + "\r\n")
 	}
